--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+RUN := $(VENV)/bin
+
+.PHONY: demo test check format proto fuzz bench binary clean
+
+$(VENV)/installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN)/pip install --quiet --disable-pip-version-check -e '.[dev,plot]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(RUN)/basilwall demo
+
+test: $(VENV)/installed
+	$(RUN)/pytest -n 4 --dist loadfile
+
+check: $(VENV)/installed
+	$(RUN)/ruff format --check .
+	$(RUN)/ruff check .
+	$(RUN)/flake8 basilwall
+	$(RUN)/mypy
+
+format: $(VENV)/installed
+	$(RUN)/ruff format .
+	$(RUN)/ruff check --fix .
+
+proto: $(VENV)/installed
+	$(RUN)/python -m grpc_tools.protoc -I proto \
+		--python_out=basilwall/peer/generated \
+		--pyi_out=basilwall/peer/generated \
+		--grpc_python_out=basilwall/peer/generated proto/peer.proto
+	sed -i 's/^import peer_pb2/from basilwall.peer.generated import peer_pb2/' \
+		basilwall/peer/generated/peer_pb2_grpc.py
+
+binary: $(VENV)/installed
+	$(RUN)/pex . -c basilwall -o dist/basilwall
+
+clean:
+	rm -rf $(VENV) dist build *.egg-info
--- /dev/null
+++ b/basilwall/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line by `python -m basilwall`."""
+
+from basilwall.cli import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/basilwall/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Searchers: connections, attempts, replica choice and limits."""
--- /dev/null
+++ b/basilwall/backend/pool.py
@@ -0,0 +1,180 @@
+"""The connections of this VM to one searcher, one task for each.
+
+The cap of a searcher counts the connections of all VMs together, so a VM
+opens only its share. A connection costs up to 6 ms, so each task opens its
+own ahead of need.
+"""
+
+import queue
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from basilwall.backend.connection import ConnectError, SearcherConnection
+from basilwall.parts.clock import Clock
+from basilwall.parts.tasks import TaskGroup
+from basilwall.records.attempt import (
+    Answered,
+    AttemptOutcome,
+    AttemptRequest,
+    NotRun,
+    OutcomeTag,
+)
+from basilwall.records.ids import SearcherAddress
+
+CONNECT_TIMEOUT = 0.5
+#: After a failed connect the searcher is passed over this long, in seconds.
+FIRST_BACKOFF = 0.1
+HIGHEST_BACKOFF = 3.0
+#: Weight of the newest latency in the smoothed one.
+SMOOTHING = 0.2
+#: Assumed latency of a searcher that has not answered yet, in seconds.
+INITIAL_LATENCY = 0.005
+
+
+def _always() -> bool:
+    return True
+
+
+@dataclass(slots=True, eq=False)
+class AttemptJob:
+    """One attempt on its way through a pool.
+
+    `deliver` is called once, from a connection's task. `may_send` is asked
+    right before the first byte goes out.
+    """
+
+    request: AttemptRequest
+    deliver: Callable[['AttemptJob', AttemptOutcome], None]
+    searcher: SearcherAddress | None = None
+    may_send: Callable[[], bool] = _always
+    cancelled: bool = False
+    sent_at: float = 0
+    connection: SearcherConnection | None = field(default=None, repr=False)
+
+    def cancel(self) -> None:
+        """Give up on the attempt; its outcome is delivered all the same."""
+        self.cancelled = True
+        connection = self.connection
+        if connection is not None:
+            connection.abort()
+
+
+class SearcherPool:
+    """The share of connections to one searcher that this VM may hold."""
+
+    def __init__(
+        self,
+        address: SearcherAddress,
+        connections: int,
+        clock: Clock,
+    ) -> None:
+        self.address = address
+        self.connections = connections
+        self.in_flight = 0
+        self._clock = clock
+        self._latency = INITIAL_LATENCY
+        self._backoff = FIRST_BACKOFF
+        self._passed_over_until = clock.monotonic()
+        self._jobs: queue.SimpleQueue[AttemptJob | None] = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._closed = False
+
+    @property
+    def cost(self) -> float:
+        """The expected wait for one more attempt, in seconds."""
+        return (self.in_flight + 1) * self._latency
+
+    @property
+    def is_reachable(self) -> bool:
+        """False for a while after a connection could not be made."""
+        return self._passed_over_until <= self._clock.monotonic()
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start one task for each connection."""
+        for _ in range(self.connections):
+            tasks.start(self._serve)
+
+    def submit(self, job: AttemptJob) -> None:
+        """Queue an attempt for the next free connection."""
+        job.searcher = self.address
+        with self._lock:
+            self.in_flight += 1
+            closed = self._closed
+        if closed:
+            self._end(job, NotRun(self.address, OutcomeTag.NOT_SENT, 'closed'))
+        else:
+            self._jobs.put(job)
+
+    def close(self) -> None:
+        """End the tasks once the queued attempts are through."""
+        with self._lock:
+            self._closed = True
+        for _ in range(self.connections):
+            self._jobs.put(None)
+
+    def _serve(self) -> None:
+        connection = SearcherConnection(self.address)
+        self._open_ahead(connection)
+        while True:
+            job = self._jobs.get()
+            if job is None:
+                connection.close()
+                return
+            self._end(job, self._run(connection, job))
+            if not connection.is_open and not self._closed:
+                self._open_ahead(connection)
+
+    def _open_ahead(self, connection: SearcherConnection) -> None:
+        try:
+            connection.open(CONNECT_TIMEOUT)
+        except ConnectError:
+            self._note_unreachable()
+
+    def _run(
+        self,
+        connection: SearcherConnection,
+        job: AttemptJob,
+    ) -> AttemptOutcome:
+        left = job.request.deadline - self._clock.monotonic()
+        if job.cancelled or left <= 0:
+            return NotRun(self.address, OutcomeTag.NOT_SENT, 'too late')
+        try:
+            connection.open(min(left, CONNECT_TIMEOUT))
+        except ConnectError as error:
+            self._note_unreachable()
+            return NotRun(self.address, OutcomeTag.NOT_SENT, str(error))
+        job.sent_at = self._clock.monotonic()
+        job.connection = connection
+        if job.cancelled or not job.may_send():
+            job.connection = None
+            return NotRun(self.address, OutcomeTag.NOT_SENT, 'held back')
+        outcome = connection.exchange(
+            job.request,
+            job.request.deadline - job.sent_at,
+        )
+        job.connection = None
+        self._note_latency(job, outcome)
+        return outcome
+
+    def _note_latency(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
+        if job.cancelled:
+            return
+        latency = self._clock.monotonic() - job.sent_at
+        if isinstance(outcome, Answered):
+            self._backoff = FIRST_BACKOFF
+        elif latency < self._latency:
+            return
+        self._latency += SMOOTHING * (latency - self._latency)
+
+    def _note_unreachable(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._passed_over_until:
+            return
+        self._passed_over_until = now + self._backoff
+        self._backoff = min(self._backoff * 2, HIGHEST_BACKOFF)
+
+    def _end(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
+        with self._lock:
+            self.in_flight -= 1
+        job.deliver(job, outcome)
--- /dev/null
+++ b/basilwall/backend/pools.py
@@ -0,0 +1,90 @@
+"""The pools of all searchers that the catalogues name.
+
+Pools follow the catalogue entries: a searcher that appears gets one, a
+searcher that no snapshot names any more loses it once its work is through.
+"""
+
+import random
+import threading
+from collections.abc import Collection
+from itertools import chain
+
+from basilwall.backend.pool import SearcherPool
+from basilwall.parts.choice import choose
+from basilwall.parts.clock import Clock
+from basilwall.parts.departures import Departures
+from basilwall.parts.tasks import TaskGroup
+from basilwall.records.catalogue import Catalogue, Part
+from basilwall.records.ids import SearcherAddress, ServiceName
+
+
+class SearcherPools:
+    """All pools, by the address of their searcher."""
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        clock: Clock,
+        departures: Departures,
+        fleet_limit: int,
+        source: random.Random,
+    ) -> None:
+        self.by_address: dict[SearcherAddress, SearcherPool] = {}
+        self._tasks = tasks
+        self._clock = clock
+        self._departures = departures
+        self._fleet_limit = fleet_limit
+        self._source = source
+        self._addresses_by_service: dict[ServiceName, set[SearcherAddress]] = {}
+        self._lock = threading.Lock()
+
+    def follow(self, catalogue: Catalogue) -> None:
+        """Open and close pools so that they match a catalogue entry."""
+        share = max(1, catalogue.connections // self._fleet_limit)
+        parts = chain.from_iterable(
+            snapshot.parts for snapshot in catalogue.snapshots
+        )
+        named = set(chain.from_iterable(part.searchers for part in parts))
+        with self._lock:
+            for address in named - self.by_address.keys():
+                self._open(address, share)
+            self._addresses_by_service[catalogue.service] = named
+            wanted = set().union(*self._addresses_by_service.values())
+            for address in self.by_address.keys() - wanted:
+                self.by_address.pop(address).close()
+
+    def pick(
+        self,
+        part: Part,
+        tried: Collection[SearcherAddress],
+    ) -> SearcherPool | None:
+        """Choose a searcher for one attempt at a part.
+
+        Args:
+            part: The part of the pinned snapshot.
+            tried: Searchers that this request already used for the part.
+
+        Returns:
+            A pool, or None if no searcher is left.
+        """
+        usable = [
+            pool
+            for address in part.searchers
+            if address not in tried
+            and not self._departures.is_leaving(address)
+            and (pool := self.by_address.get(address)) is not None
+        ]
+        reachable = [pool for pool in usable if pool.is_reachable]
+        return choose(reachable or usable, self._source)
+
+    def close(self) -> None:
+        """Close all pools once their queued attempts are through."""
+        with self._lock:
+            for pool in self.by_address.values():
+                pool.close()
+            self.by_address = {}
+
+    def _open(self, address: SearcherAddress, share: int) -> None:
+        pool = SearcherPool(address, share, self._clock)
+        self.by_address[address] = pool
+        pool.start(self._tasks)
--- /dev/null
+++ b/basilwall/backend/rules.py
@@ -0,0 +1,51 @@
+"""What may follow each outcome of an attempt, as one table.
+
+The table is the only place that decides on another attempt. An order is sent
+again only if the outcome proves that it did not run.
+"""
+
+from dataclasses import dataclass
+
+from basilwall.records.answer import MissingReason
+from basilwall.records.attempt import OutcomeTag, RequestKind
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """What follows one outcome of one kind of request."""
+
+    again: bool
+    blames_searcher: bool
+    blames_request: bool
+    missing: MissingReason
+
+
+_QUERY_RULES = {
+    OutcomeTag.NOT_SENT: Rule(True, True, False, MissingReason.NO_SEARCHER),
+    OutcomeTag.SHED: Rule(True, False, False, MissingReason.OVERLOADED),
+    OutcomeTag.LEAVING: Rule(True, True, False, MissingReason.NO_SEARCHER),
+    OutcomeTag.WRONG_SNAPSHOT: Rule(
+        True,
+        False,
+        False,
+        MissingReason.WRONG_SNAPSHOT,
+    ),
+    OutcomeTag.LATE: Rule(False, True, False, MissingReason.DEADLINE),
+    OutcomeTag.LOST: Rule(True, True, True, MissingReason.LOST),
+    OutcomeTag.REJECTED: Rule(False, False, True, MissingReason.LOST),
+}
+
+_ORDER_RULES = {
+    **_QUERY_RULES,
+    OutcomeTag.LATE: Rule(False, True, False, MissingReason.DEADLINE),
+    OutcomeTag.LOST: Rule(False, True, True, MissingReason.LOST),
+}
+
+RULE_BY_KIND_AND_TAG = {
+    (kind, tag): rule
+    for kind, rules in (
+        (RequestKind.IDEMPOTENT, _QUERY_RULES),
+        (RequestKind.NON_IDEMPOTENT, _ORDER_RULES),
+    )
+    for tag, rule in rules.items()
+}
--- /dev/null
+++ b/basilwall/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Callers, over HTTP: routes, admission and refusals."""
--- /dev/null
+++ b/basilwall/caller/server.py
@@ -0,0 +1,124 @@
+"""The HTTP server towards callers."""
+
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer, create_server
+from waitress.task import WSGITask
+
+from basilwall.caller.app import CallerApp
+
+#: Threads beyond the admission cap, so that a refusal never waits.
+REFUSAL_THREADS = 8
+BACKLOG = 1024
+CONNECTION_LIMIT = 1024
+#: An idle connection of a caller is closed after this time.
+IDLE_SECONDS = 30
+POLL_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """Where and how callers are served; `body_bytes` caps a request."""
+
+    address: str
+    threads: int
+    body_bytes: int
+
+
+class _Task(WSGITask):
+    """Answers one request, and ends the connection while stopping.
+
+    An application may not send `Connection` itself; the library sends it if
+    the request asked for it.
+    """
+
+    def build_response_header(self) -> bytes:
+        channel: Any = self.channel
+        request: Any = self.request
+        if channel.is_stopping():
+            request.headers['CONNECTION'] = 'close'
+        return super().build_response_header()
+
+
+class _Channel(HTTPChannel):
+    task_class = _Task
+
+    def is_stopping(self) -> bool:
+        server: Any = self.server
+        return bool(server.caller_app.is_stopping)
+
+
+class CallerServer:
+    """A running server."""
+
+    def __init__(self, server: TcpWSGIServer) -> None:
+        self._server = server
+
+    def wait_flushed(self, timeout: float) -> bool:
+        """Wait until every reply was handed to the system.
+
+        Args:
+            timeout: The longest wait, in seconds.
+
+        Returns:
+            False if replies were still unsent at the end.
+        """
+        waiting = threading.Event()
+        polls = int(timeout / POLL_SECONDS) + 1
+        for _ in range(polls):
+            if not self._unsent():
+                return True
+            waiting.wait(POLL_SECONDS)
+        return False
+
+    def _unsent(self) -> bool:
+        by_descriptor: Any = self._server.active_channels
+        channels = tuple(by_descriptor.values())
+        return any(
+            channel.requests or channel.total_outbufs_len
+            for channel in channels
+        )
+
+
+@contextmanager
+def caller_server(
+    app: CallerApp,
+    listening: Listening,
+) -> Iterator[CallerServer]:
+    """Serve callers for the length of a block.
+
+    Args:
+        app: The application.
+        listening: Where and how.
+
+    Yields:
+        The running server.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+    server: Any = create_server(
+        app,
+        listen=listening.address,
+        threads=listening.threads + REFUSAL_THREADS,
+        max_request_body_size=listening.body_bytes,
+        backlog=BACKLOG,
+        connection_limit=CONNECTION_LIMIT,
+        ident='basilwall',
+        channel_timeout=IDLE_SECONDS,
+        asyncore_use_poll=True,
+    )
+    server.channel_class = _Channel
+    server.caller_app = app
+    with ThreadPoolExecutor(1, thread_name_prefix='callers') as pool:
+        pool.submit(server.run)
+        try:
+            yield CallerServer(server)
+        finally:
+            server.close()
--- /dev/null
+++ b/basilwall/caller/service.py
@@ -0,0 +1,176 @@
+"""What callers can ask for: queries, tickets and orders."""
+
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol
+
+import msgspec
+
+from basilwall.caller.admission import Admission, NotAdmittedError
+from basilwall.caller.wire import (
+    JSON,
+    Reply,
+    TicketBody,
+    answer_reply,
+    json_reply,
+    order_reply,
+    refusal_reply,
+)
+from basilwall.document.model import MAX_DEADLINE_MS, Document
+from basilwall.operators.metrics import Metrics
+from basilwall.operators.status import StatusReport
+from basilwall.order.desk import OrderDesk, OrderRequest
+from basilwall.parts.clock import Clock
+from basilwall.platform.state import PlatformState
+from basilwall.query.progress import Query
+from basilwall.query.runner import QueryRunner
+from basilwall.records.answer import QueryAnswer, Refusal, RefusalReason
+from basilwall.records.ids import RequestId, ServiceName
+from basilwall.records.order import OrderOutcome, OrderReason, OrderState
+
+MILLISECONDS = 1000
+RETRY_AFTER_MS = 100
+
+
+class Incoming(Protocol):
+    """What is read of a caller's request."""
+
+    request_id: RequestId
+
+    def header(self, name: str) -> str:
+        """Return a header, or an empty text."""
+
+    def body(self) -> bytes:
+        """Read the whole body."""
+
+
+class CallerService:
+    """Answers callers from the parts behind it."""
+
+    def __init__(
+        self,
+        state: PlatformState,
+        admission: Admission,
+        queries: QueryRunner,
+        desk: OrderDesk,
+        metrics: Metrics,
+        report: Callable[[], StatusReport],
+        clock: Clock,
+    ) -> None:
+        self.is_stopping = False
+        self._state = state
+        self._admission = admission
+        self._queries = queries
+        self._desk = desk
+        self._metrics = metrics
+        self._report = report
+        self._clock = clock
+
+    def query(self, service: ServiceName, request: Incoming) -> Reply:
+        """Answer a query, or refuse it at once."""
+        document = self._state.document_by_service.get(service)
+        if document is None:
+            return refusal_reply(_unknown_service(request))
+        class_name = document.class_named(request.header('Request-Class'))
+        started = time.monotonic()
+        deadline = self._deadline(request, document.deadline_ms)
+        query = Query(request.request_id, service, request.body(), deadline)
+        try:
+            with self._admission.admitted(document, class_name):
+                outcome = self._queries.run(query, document)
+        except NotAdmittedError as error:
+            outcome = Refusal(request.request_id, error.reason, RETRY_AFTER_MS)
+        self._metrics.observe_query(
+            service,
+            class_name,
+            time.monotonic() - started,
+            outcome,
+        )
+        if isinstance(outcome, QueryAnswer):
+            return answer_reply(outcome)
+        return refusal_reply(outcome)
+
+    def ticket(self, service: ServiceName, request: Incoming) -> Reply:
+        """Issue a ticket for one order."""
+        if service not in self._state.document_by_service:
+            return refusal_reply(_unknown_service(request))
+        mint = self._desk.mint
+        return json_reply(
+            TicketBody(
+                mint.issue(service),
+                int(mint.lifetime * MILLISECONDS),
+            ),
+        )
+
+    def order(self, service: ServiceName, request: Incoming) -> Reply:
+        """Run an order once, or say what became of it."""
+        document = self._state.document_by_service.get(service)
+        started = time.monotonic()
+        outcome = self._order(service, request, document)
+        self._metrics.observe_order(
+            service,
+            time.monotonic() - started,
+            outcome,
+        )
+        return order_reply(request.request_id, outcome)
+
+    def live(self) -> Reply:
+        """Say that the process runs."""
+        return Reply(HTTPStatus.OK, b'{"live":true}')
+
+    def ready(self) -> Reply:
+        """Say whether the balancer may send callers here."""
+        if self.is_stopping or not self._state.document_by_service:
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE, b'{"ready":false}')
+        return Reply(HTTPStatus.OK, b'{"ready":true}')
+
+    def status(self) -> Reply:
+        """Report the state of this VM to operators."""
+        body = msgspec.json.encode(self._report())
+        return Reply(HTTPStatus.OK, body, JSON)
+
+    def _order(
+        self,
+        service: ServiceName,
+        request: Incoming,
+        document: Document | None,
+    ) -> OrderOutcome:
+        ticket = request.header('Idempotency-Key').strip('"')
+        if document is None:
+            return OrderOutcome(
+                OrderState.UNKNOWN if ticket else OrderState.NOT_RUN,
+                OrderReason.UNKNOWN_SERVICE,
+            )
+        deadline = self._deadline(request, document.order_deadline_ms)
+        order = OrderRequest(
+            request.request_id,
+            service,
+            ticket,
+            request.body(),
+            deadline,
+        )
+        class_name = document.class_named(request.header('Request-Class'))
+        try:
+            with self._admission.admitted(document, class_name):
+                return self._desk.take(order)
+        except NotAdmittedError:
+            return OrderOutcome(
+                OrderState.UNKNOWN if ticket else OrderState.NOT_RUN,
+                OrderReason.OVERLOADED,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
+    def _deadline(self, request: Incoming, default_ms: int) -> float:
+        text = request.header('Request-Timeout-Ms')
+        asked = int(text) if text.isdecimal() else default_ms
+        bounded = min(max(asked, 1), MAX_DEADLINE_MS)
+        return self._clock.monotonic() + bounded / MILLISECONDS
+
+
+def _unknown_service(request: Incoming) -> Refusal:
+    return Refusal(
+        request.request_id,
+        RefusalReason.UNKNOWN_SERVICE,
+        RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/basilwall/checking/__init__.py
@@ -0,0 +1,1 @@
+"""Checked reading of JSON with comments, for settings and documents."""
--- /dev/null
+++ b/basilwall/cli.py
@@ -0,0 +1,104 @@
+"""The command line.
+
+Exit codes: 0 for success, 1 for a bad file or a failed run, 2 for wrong use.
+"""
+
+import signal
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from basilwall.checking.reader import CheckError, read_checked
+from basilwall.document.model import Document
+from basilwall.operators.logs import set_up_logs
+from basilwall.settings.model import load_settings
+from basilwall.standin.commands import standin_app
+from basilwall.standin.demo import demo_vm, run_demo
+from basilwall.wiring import KeyFileError, running_vm
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+check_app = typer.Typer(no_args_is_help=True)
+app.add_typer(check_app, name='check', help='Check a file.')
+app.add_typer(standin_app, name='standin', help='Run stand-ins.')
+
+FileArgument = Annotated[Path, typer.Argument(metavar='FILE')]
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+@app.command()
+def serve(
+    settings: Annotated[Path, typer.Option(help='The settings file.')],
+) -> None:
+    """Run one VM until SIGTERM, then stop without cutting off a request."""
+    stopping, hurry = threading.Event(), threading.Event()
+    _end_on_signals(stopping, hurry)
+    try:
+        loaded = load_settings(settings)
+        set_up_logs(loaded.log_level)
+        with running_vm(loaded) as vm:
+            stopping.wait()
+            whole = vm.stop(hurry)
+    except (CheckError, KeyFileError, OSError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
+    if not whole:
+        raise typer.Exit(1)
+
+
+@app.command()
+def demo(
+    stay: Annotated[bool, typer.Option(help='Go on until SIGTERM.')] = False,
+    port: Annotated[int | None, typer.Option(help='For callers.')] = None,
+) -> None:
+    """Run a VM and stand-ins in one process and send real requests."""
+    stopping, hurry = threading.Event(), threading.Event()
+    set_up_logs('ERROR')
+    if stay:
+        _end_on_signals(stopping, hurry)
+    with demo_vm(port) as vm:
+        run_demo(vm, typer.echo)
+        if stay:
+            typer.echo('Serving until SIGTERM.')
+            stopping.wait()
+        vm.stop(hurry)
+
+
+@check_app.command('settings')
+def check_settings(path: FileArgument) -> None:
+    """Check the settings of a VM."""
+    _check(path, lambda: load_settings(path))
+
+
+@check_app.command('document')
+def check_document(path: FileArgument) -> None:
+    """Check the document of a service."""
+    _check(path, lambda: read_checked(path.read_text(), str(path), Document))
+
+
+def _check(path: Path, check: Callable[[], object]) -> None:
+    try:
+        check()
+    except (CheckError, OSError, UnicodeDecodeError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
+    typer.echo(f'{path}: good')
+
+
+def _end_on_signals(
+    stopping: threading.Event,
+    hurry: threading.Event,
+) -> None:
+    def end(*_: object) -> None:
+        if stopping.is_set():
+            hurry.set()
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
--- /dev/null
+++ b/basilwall/document/__init__.py
@@ -0,0 +1,1 @@
+"""The document that a team owns: its model and its check."""
--- /dev/null
+++ b/basilwall/document/model.py
@@ -0,0 +1,77 @@
+"""The document of one service, as its team writes it.
+
+It states what the service asks and what it will tolerate, and nothing that
+the system can find out by itself: no addresses, no caps of searchers, no
+names of VMs.
+"""
+
+from enum import Enum
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from basilwall.records.ids import ClassName, ServiceName
+
+DEFAULT_DEADLINE_MS = 100
+DEFAULT_ORDER_DEADLINE_MS = 2000
+DEFAULT_EXTRA_LOAD = 0.05
+DEFAULT_COVERAGE = 0.95
+DEFAULT_HEDGE_QUANTILE = 0.95
+MAX_DEADLINE_MS = 60_000
+MAX_IN_FLIGHT = 10_000
+DEFAULT_IN_FLIGHT = 64
+
+
+class Weighs(Enum):
+    """What the team gives up last when not both can be had."""
+
+    TAIL = 'tail'
+    COVERAGE = 'coverage'
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class ClassPolicy(_Model):
+    """One class of callers.
+
+    Under overload a class is refused later the higher its weight is.
+    """
+
+    weight: Annotated[int, Field(ge=1, le=100)] = 1
+    max_in_flight: Annotated[int, Field(ge=1, le=MAX_IN_FLIGHT)] = (
+        DEFAULT_IN_FLIGHT
+    )
+
+
+class Document(_Model):
+    """What one service asks of the shards behind it.
+
+    Times are in milliseconds, shares are from 0 to 1. `extra_load` bounds
+    retries and hedges together, as a share of the least attempts needed.
+    """
+
+    service: Annotated[ServiceName, Field(min_length=1, max_length=64)]
+    weighs: Weighs = Weighs.TAIL
+    deadline_ms: Annotated[int, Field(ge=5, le=MAX_DEADLINE_MS)] = (
+        DEFAULT_DEADLINE_MS
+    )
+    order_deadline_ms: Annotated[int, Field(ge=5, le=MAX_DEADLINE_MS)] = (
+        DEFAULT_ORDER_DEADLINE_MS
+    )
+    tolerated_coverage: Annotated[float, Field(ge=0, le=1)] = DEFAULT_COVERAGE
+    extra_load: Annotated[float, Field(ge=0, le=0.5)] = DEFAULT_EXTRA_LOAD
+    hedge_quantile: Annotated[float, Field(ge=0.5, lt=1)] = (
+        DEFAULT_HEDGE_QUANTILE
+    )
+    classes: dict[ClassName, ClassPolicy] = Field(
+        default_factory=lambda: {ClassName('default'): ClassPolicy()},
+        min_length=1,
+        max_length=16,
+    )
+
+    def class_named(self, name: str) -> ClassName:
+        """Return the class of that name, or the first class of the team."""
+        wanted = ClassName(name)
+        return wanted if wanted in self.classes else next(iter(self.classes))
--- /dev/null
+++ b/basilwall/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load with a report."""
--- /dev/null
+++ b/basilwall/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: status, metrics, logs and reports."""
--- /dev/null
+++ b/basilwall/operators/logs.py
@@ -0,0 +1,42 @@
+"""Logs as JSON lines on standard error."""
+
+import logging
+import sys
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+
+#: Attributes that every log record has; all others are our own fields.
+_STANDARD = frozenset(logging.makeLogRecord({}).__dict__) | {
+    'message',
+    'taskName',
+}
+
+
+class JsonLines(logging.Formatter):
+    """One JSON object a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as JSON, its extra fields beside the standard."""
+        line: dict[str, Any] = {
+            'time': datetime.fromtimestamp(record.created, UTC).isoformat(),
+            'level': record.levelname,
+            'logger': record.name,
+            'message': record.getMessage(),
+        }
+        line.update(
+            (name, field)
+            for name, field in record.__dict__.items()
+            if name not in _STANDARD
+        )
+        if record.exc_info:
+            line['exception'] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def set_up_logs(level: str) -> None:
+    """Send all logs of at least `level` to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonLines())
+    logging.basicConfig(level=level, handlers=[handler], force=True)
--- /dev/null
+++ b/basilwall/order/__init__.py
@@ -0,0 +1,1 @@
+"""Orders, the requests that are not idempotent: tickets and outcomes."""
--- /dev/null
+++ b/basilwall/order/dispatch.py
@@ -0,0 +1,181 @@
+"""Dispatch one order to one searcher, once.
+
+Another searcher is tried only when the outcome proves that the order did not
+run. A process that slept too long between its decision and the first byte
+does not send: what it knew before is old.
+"""
+
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+
+from basilwall.backend.pool import AttemptJob
+from basilwall.backend.pools import SearcherPools
+from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
+from basilwall.parts.clock import Clock
+from basilwall.platform.state import PlatformState
+from basilwall.records.attempt import (
+    Answered,
+    AttemptOutcome,
+    AttemptRequest,
+    MayHaveRun,
+    NotRun,
+    OutcomeTag,
+    RequestKind,
+)
+from basilwall.records.catalogue import Part, Snapshot
+from basilwall.records.ids import (
+    AttemptId,
+    RequestId,
+    SearcherAddress,
+    ServiceName,
+)
+from basilwall.records.order import OrderOutcome, OrderReason, OrderState
+
+#: Longest time between the decision to send and the first byte, in seconds.
+MAX_PAUSE = 1.0
+#: How often one order may be sent after proofs that it did not run.
+MAX_SENDS = 4
+RETRY_AFTER_MS = 500
+
+_REASON_BY_TAG = {
+    OutcomeTag.SHED: OrderReason.OVERLOADED,
+    OutcomeTag.NOT_SENT: OrderReason.NO_SEARCHER,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order that this VM may dispatch.
+
+    `deadline` is in monotonic seconds, `ticket_expires_at` in seconds of the
+    wall clock; `place` picks the part that runs it.
+    """
+
+    request_id: RequestId
+    service: ServiceName
+    body: bytes
+    deadline: float
+    ticket_expires_at: float
+    place: int
+
+
+@dataclass(slots=True)
+class _Sends:
+    """The searchers that an order was offered to."""
+
+    tried: set[SearcherAddress] = field(default_factory=set)
+    last: NotRun | None = None
+
+
+class OrderDispatcher:
+    """Sends orders on behalf of the tickets of this incarnation."""
+
+    def __init__(
+        self,
+        state: PlatformState,
+        pools: SearcherPools,
+        clock: Clock,
+    ) -> None:
+        self._state = state
+        self._pools = pools
+        self._clock = clock
+
+    def dispatch(self, order: Order) -> OrderOutcome:
+        """Send an order until it ran, may have run, or nobody takes it.
+
+        Args:
+            order: An order whose ticket was claimed for the first time.
+
+        Returns:
+            The outcome, never UNKNOWN if no byte was sent.
+        """
+        snapshot = self._snapshot(order)
+        if snapshot is None or not snapshot.parts:
+            return _not_run(OrderReason.NO_SEARCHER)
+        part = snapshot.parts[order.place % len(snapshot.parts)]
+        sends = _Sends()
+        for number in range(MAX_SENDS):
+            outcome = self._send(order, snapshot, part, sends, number)
+            if outcome is not None:
+                return outcome
+        return _from_last(sends.last)
+
+    def _snapshot(self, order: Order) -> Snapshot | None:
+        catalogue = self._state.catalogue_by_service.get(order.service)
+        if catalogue is None or not catalogue.snapshots:
+            return None
+        return catalogue.snapshots[0]
+
+    def _send(
+        self,
+        order: Order,
+        snapshot: Snapshot,
+        part: Part,
+        sends: _Sends,
+        number: int,
+    ) -> OrderOutcome | None:
+        pool = self._pools.pick(part, sends.tried)
+        if pool is None:
+            return _from_last(sends.last)
+        sends.tried.add(pool.address)
+        request = AttemptRequest(
+            service=order.service,
+            instance=part.instance,
+            kind=RequestKind.NON_IDEMPOTENT,
+            request_id=order.request_id,
+            attempt_id=AttemptId(f'{order.request_id}.{number}'),
+            snapshot=snapshot.snapshot_id,
+            body=order.body,
+            deadline=order.deadline,
+        )
+        arrived: Future[AttemptOutcome] = Future()
+        decided_at = self._clock.monotonic()
+        pool.submit(
+            AttemptJob(
+                request,
+                lambda _, outcome: arrived.set_result(outcome),
+                may_send=lambda: self._may_send(order, decided_at),
+            ),
+        )
+        return _judge(arrived.result(), sends)
+
+    def _may_send(self, order: Order, decided_at: float) -> bool:
+        now = self._clock.monotonic()
+        fresh = now - decided_at <= MAX_PAUSE and now < order.deadline
+        return fresh and self._clock.wall() < order.ticket_expires_at
+
+
+def _judge(outcome: AttemptOutcome, sends: _Sends) -> OrderOutcome | None:
+    if isinstance(outcome, Answered):
+        return OrderOutcome(
+            OrderState.RAN,
+            OrderReason.ANSWERED,
+            outcome.records,
+        )
+    if isinstance(outcome, MayHaveRun):
+        return OrderOutcome(
+            OrderState.UNKNOWN,
+            OrderReason.REPLY_LOST,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+    sends.last = outcome
+    rule = RULE_BY_KIND_AND_TAG[RequestKind.NON_IDEMPOTENT, outcome.tag]
+    return None if rule.again else _from_last(outcome)
+
+
+def _from_last(last: NotRun | None) -> OrderOutcome:
+    if last is None:
+        return _not_run(OrderReason.NO_SEARCHER)
+    reason = _REASON_BY_TAG.get(last.tag, OrderReason.NO_SEARCHER)
+    return _not_run(reason, last.retry_after_ms)
+
+
+def _not_run(
+    reason: OrderReason,
+    retry_after_ms: int = 0,
+) -> OrderOutcome:
+    return OrderOutcome(
+        OrderState.NOT_RUN,
+        reason,
+        retry_after_ms=retry_after_ms or RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/basilwall/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Other entry VMs, over gRPC: exchange of facts and forwarded orders."""
--- /dev/null
+++ b/basilwall/peer/server.py
@@ -0,0 +1,129 @@
+"""The calls that other VMs make to this one."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+import grpc
+
+from basilwall.order.desk import OrderDesk, OrderRequest
+from basilwall.parts.clock import Clock
+from basilwall.parts.handovers import Handover, Handovers
+from basilwall.peer.client import CHANNEL_OPTIONS
+from basilwall.peer.facts import MILLISECONDS, Facts
+from basilwall.peer.generated import peer_pb2, peer_pb2_grpc
+from basilwall.peer.outcomes import outcome_from_wire, outcome_to_wire
+from basilwall.records.ids import Incarnation, RequestId, ServiceName
+
+SERVER_THREADS = 32
+#: Beyond this many calls at once the library refuses, before any runs.
+MAX_CALLS = 256
+STOP_GRACE = 5.0
+
+
+class PeerService(peer_pb2_grpc.PeerServicer):  # type: ignore[misc]
+    """Answers exchange, forwarded orders and handovers."""
+
+    def __init__(
+        self,
+        facts: Facts,
+        desk: OrderDesk,
+        handovers: Handovers,
+        clock: Clock,
+    ) -> None:
+        self._facts = facts
+        self._desk = desk
+        self._handovers = handovers
+        self._clock = clock
+
+    def Exchange(  # noqa: N802
+        self,
+        request: peer_pb2.ExchangeRequest,
+        context: grpc.ServicerContext,
+    ) -> peer_pb2.ExchangeReply:
+        """Take in what the caller knows and return what it lacks."""
+        self._facts.take(request.sender, request.facts)
+        digest = {one.key: one.revision for one in request.digest}
+        register = self._facts.register
+        return peer_pb2.ExchangeReply(
+            sender=self._facts.identity(),
+            facts=self._facts.collect(register.newer_than(digest)),
+            wanted=register.older_than(digest),
+        )
+
+    def Push(  # noqa: N802
+        self,
+        request: peer_pb2.PushRequest,
+        context: grpc.ServicerContext,
+    ) -> peer_pb2.PushReply:
+        """Take in values that this VM asked for."""
+        self._facts.take(request.sender, request.facts)
+        return peer_pb2.PushReply()
+
+    def Forward(  # noqa: N802
+        self,
+        request: peer_pb2.ForwardRequest,
+        context: grpc.ServicerContext,
+    ) -> peer_pb2.ForwardReply:
+        """Run an order whose ticket this VM minted, or say what is known."""
+        left = request.timeout_ms / MILLISECONDS
+        outcome = self._desk.take_forwarded(
+            OrderRequest(
+                RequestId(request.request_id),
+                ServiceName(request.service),
+                request.ticket,
+                request.body,
+                self._clock.monotonic() + left,
+            ),
+        )
+        return outcome_to_wire(outcome)
+
+    def HandOver(  # noqa: N802
+        self,
+        request: peer_pb2.HandOverRequest,
+        context: grpc.ServicerContext,
+    ) -> peer_pb2.HandOverReply:
+        """Keep the outcomes that a stopping VM leaves."""
+        kept_for = request.keep_ms / MILLISECONDS
+        self._handovers.keep(
+            Handover(
+                Incarnation(request.sender.incarnation),
+                {
+                    one.number: outcome_from_wire(one)
+                    for one in request.outcomes
+                },
+                request.closed,
+                self._clock.monotonic() + kept_for,
+            ),
+        )
+        return peer_pb2.HandOverReply(kept=True)
+
+
+@contextmanager
+def peer_server(service: PeerService, address: str) -> Iterator[grpc.Server]:
+    """Serve other VMs for the length of a block.
+
+    Args:
+        service: The calls.
+        address: Where to listen.
+
+    Yields:
+        The running server.
+
+    Raises:
+        RuntimeError: If the address cannot be bound.
+    """
+    pool = ThreadPoolExecutor(SERVER_THREADS, thread_name_prefix='peer-call')
+    server = grpc.server(
+        pool,
+        options=(*CHANNEL_OPTIONS, ('grpc.so_reuseport', 0)),
+        maximum_concurrent_rpcs=MAX_CALLS,
+    )
+    peer_pb2_grpc.add_PeerServicer_to_server(service, server)
+    server.add_insecure_port(address)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(STOP_GRACE).wait()
+        pool.shutdown(wait=True)
--- /dev/null
+++ b/basilwall/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The platform: its configuration service and its fleet list.
+
+Both can only be read and watched, and both may be down or stale.
+"""
--- /dev/null
+++ b/basilwall/query/policy.py
@@ -0,0 +1,45 @@
+"""The policy of one service at work: its document, budget and hedge delay."""
+
+from dataclasses import dataclass
+
+from basilwall.document.model import Document
+from basilwall.parts.hedge import HedgeDelay
+from basilwall.parts.retry_budget import RetryBudget
+
+#: Hedge delay before any latency was seen, as a share of the deadline.
+INITIAL_HEDGE_SHARE = 0.3
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePolicy:
+    """One document with the state that its values bound."""
+
+    document: Document
+    budget: RetryBudget
+    hedge: HedgeDelay
+
+
+def policy_of(document: Document) -> ServicePolicy:
+    """Return the policy for a document that has come into force."""
+    deadline = document.deadline_ms / MILLISECONDS
+    return ServicePolicy(
+        document,
+        RetryBudget(document.extra_load),
+        HedgeDelay(document.hedge_quantile, deadline * INITIAL_HEDGE_SHARE),
+    )
+
+
+class Policies:
+    """Policies by service, made anew when their document changes."""
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, ServicePolicy] = {}
+
+    def of(self, document: Document) -> ServicePolicy:
+        """Return the policy for a document in force."""
+        held = self._by_service.get(document.service)
+        if held is None or held.document != document:
+            held = policy_of(document)
+            self._by_service[document.service] = held
+        return held
--- /dev/null
+++ b/basilwall/records/answer.py
@@ -0,0 +1,89 @@
+"""What a caller gets for a query: an answer, or a refusal."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from basilwall.records.ids import InstanceName, RequestId, SnapshotId
+
+
+class MissingReason(Enum):
+    """Why a part of the snapshot is not in an answer."""
+
+    DEADLINE = 'deadline'
+    NO_SEARCHER = 'no_searcher'
+    OVERLOADED = 'overloaded'
+    WRONG_SNAPSHOT = 'wrong_snapshot'
+    LOST = 'lost'
+    PARTIAL = 'partial'
+    QUARANTINED = 'quarantined'
+
+
+@dataclass(frozen=True, slots=True)
+class MissingPart:
+    """One instance that is not, or only partly, in the answer."""
+
+    instance: InstanceName
+    reason: MissingReason
+    records: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """How much of the pinned snapshot's partition map an answer covers.
+
+    `answered` and `total` count parts; the two record counts are sums over
+    the parts, as the searchers and the catalogue state them.
+    """
+
+    answered: int
+    total: int
+    records_covered: int
+    records_total: int
+    missing: tuple[MissingPart, ...]
+
+    @property
+    def complete(self) -> bool:
+        """True if every part answered for all of its records."""
+        return self.answered == self.total and not self.missing
+
+    @property
+    def fraction(self) -> float:
+        """The share of parts that answered in full, from 0 to 1."""
+        return self.answered / max(self.total, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class QueryAnswer:
+    """One answer from one snapshot; `records` is a JSON array."""
+
+    request_id: RequestId
+    snapshot: SnapshotId
+    coverage: Coverage
+    records: bytes
+    attempts: int
+
+
+class RefusalReason(Enum):
+    """Why a request was given up on."""
+
+    UNKNOWN_SERVICE = 'unknown_service'
+    OVERLOADED = 'overloaded'
+    TOO_LATE = 'too_late'
+    STOPPING = 'stopping'
+    LOW_COVERAGE = 'low_coverage'
+    NO_SNAPSHOT = 'no_snapshot'
+    QUARANTINED = 'quarantined'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The final answer to a request that was given up on.
+
+    `ran` is False only if no attempt of it can have run anywhere.
+    """
+
+    request_id: RequestId
+    reason: RefusalReason
+    retry_after_ms: int
+    ran: bool = False
+    coverage: Coverage | None = None
--- /dev/null
+++ b/basilwall/records/ids.py
@@ -0,0 +1,29 @@
+"""Identifiers, each with a type of its own.
+
+A plain `str` would let an instance name stand where a searcher address is
+meant; the checker tells these apart at no cost at run time.
+"""
+
+from typing import NewType
+
+ServiceName = NewType('ServiceName', str)
+InstanceName = NewType('InstanceName', str)
+ClassName = NewType('ClassName', str)
+SnapshotId = NewType('SnapshotId', str)
+RequestId = NewType('RequestId', str)
+AttemptId = NewType('AttemptId', str)
+Zone = NewType('Zone', str)
+Region = NewType('Region', str)
+
+#: `host:port`, the host as an IP number.
+SearcherAddress = NewType('SearcherAddress', str)
+VmAddress = NewType('VmAddress', str)
+
+#: Drawn at random at start, so that two processes at one address differ.
+Incarnation = NewType('Incarnation', str)
+
+#: A hash over the content of a request, equal for every resend of it.
+Fingerprint = NewType('Fingerprint', str)
+
+#: Assigned by the platform; grows with each change of any key.
+Revision = NewType('Revision', int)
--- /dev/null
+++ b/basilwall/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of one VM: their model and their check."""
--- /dev/null
+++ b/basilwall/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for a searcher and for the platform."""
--- /dev/null
+++ b/basilwall/standin/demo.py
@@ -0,0 +1,163 @@
+"""The demo: one VM and its stand-ins in one process, with real requests."""
+
+import http.client
+import socket
+import tempfile
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from http import HTTPStatus
+from pathlib import Path
+
+import msgspec
+
+from basilwall.records.ids import Region, Zone
+from basilwall.settings.model import Limits, Settings, Stop
+from basilwall.standin.deployment import (
+    HOST,
+    QASR_AL_JAMR,
+    make_searchers,
+    make_snapshot,
+    published_values,
+)
+from basilwall.standin.platform import PlatformStandIn
+from basilwall.wiring import Vm, running_vm
+
+SERVICE_MS = 5
+DEMO_KEY = b'only-for-the-demo-0123456789'
+QUERY = b'{"find": "citrus wood", "limit": 3}'
+ORDER = b'{"place": "coconut briquettes", "kilos": 40}'
+SERVICE = 'depot-desk'
+MILLISECONDS = 1000
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+READY_TRIES = 500
+DEMO_FLEET = 9
+
+Say = Callable[[str], None]
+
+
+def free_ports(count: int) -> int:
+    """Return the first of `count` neighbouring ports that are free now."""
+    for first in range(FIRST_PORT, LAST_PORT, count):
+        if all(_is_free(first + offset) for offset in range(count)):
+            return first
+    raise OSError('no free ports')
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+@contextmanager
+def demo_vm(caller_port: int | None = None) -> Iterator[Vm]:
+    """Run one VM over stand-ins for the length of a block."""
+    shape = QASR_AL_JAMR[0]
+    searchers = shape.instances * shape.searchers
+    base = free_ports(searchers + 3)
+    port = base + searchers
+    platform_address = f'{HOST}:{port}'
+    vm_address = f'{HOST}:{port + 1}'
+    with ExitStack() as stack:
+        key_file = stack.enter_context(_key_file())
+        _start_stand_ins(stack, base, platform_address, vm_address)
+        settings = Settings(
+            caller_address=f'{HOST}:{caller_port or port + 2}',
+            peer_address=vm_address,
+            platform_addresses=[platform_address],
+            zone=Zone('amman-a'),
+            region=Region('amman'),
+            ticket_key_file=key_file,
+            limits=Limits(fleet=DEMO_FLEET),
+            stop=Stop(balancer_lag_s=0),
+        )
+        yield stack.enter_context(running_vm(settings))
+
+
+@contextmanager
+def _key_file() -> Iterator[Path]:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'ticket.key'
+        path.write_bytes(DEMO_KEY)
+        yield path
+
+
+def _start_stand_ins(
+    stack: ExitStack,
+    first_port: int,
+    platform_address: str,
+    vm_address: str,
+) -> None:
+    shape = QASR_AL_JAMR[0]
+    platform = PlatformStandIn(platform_address)
+    platform.start()
+    stack.callback(platform.stop)
+    values = published_values((shape,), first_port, [vm_address])
+    for key, body in values.items():
+        platform.publish(key, body)
+    snapshot = make_snapshot(shape, first_port, 's1')
+    for searcher in make_searchers(shape, snapshot, SERVICE_MS):
+        searcher.start()
+        stack.callback(searcher.stop)
+
+
+def run_demo(vm: Vm, say: Say) -> None:
+    """Send a query and an order, and say what happened.
+
+    Args:
+        vm: A running VM.
+        say: Prints one line.
+    """
+    address = vm.core.settings.caller_address
+    _wait_ready(address)
+    say(f'One VM at http://{address}, ten instances of three searchers each.')
+    query = call(address, 'POST', f'/v1/services/{SERVICE}/query', QUERY)
+    say(f'A query: {query.status} {query.text}')
+    refused = call(address, 'POST', f'/v1/services/{SERVICE}/orders', ORDER)
+    say(f'An order without a ticket: {refused.status} {refused.text}')
+    ticket = msgspec.json.decode(refused.text)['ticket']
+    for name in ('The same order with its ticket', 'Sent again'):
+        placed = call(
+            address,
+            'POST',
+            f'/v1/services/{SERVICE}/orders',
+            ORDER,
+            {'Idempotency-Key': ticket},
+        )
+        say(f'{name}: {placed.status} {placed.text}')
+
+
+class HttpReply(msgspec.Struct, frozen=True):
+    """A reply as the demo shows it."""
+
+    status: int
+    text: str
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+) -> HttpReply:
+    """Make one HTTP request on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return HttpReply(response.status, response.read().decode())
+    finally:
+        connection.close()
+
+
+def _wait_ready(address: str) -> None:
+    for _ in range(READY_TRIES):
+        if call(address, 'GET', '/readyz').status == HTTPStatus.OK:
+            return
+    raise TimeoutError('the VM did not become ready')
--- /dev/null
+++ b/basilwall/standin/http_server.py
@@ -0,0 +1,80 @@
+"""A small HTTP server on threads, shared by the stand-ins."""
+
+import socket
+import socketserver
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler
+from typing import Any
+
+import msgspec
+
+BACKLOG = 512
+
+
+class StandInHandler(BaseHTTPRequestHandler):
+    """A kept-alive HTTP/1.1 connection with JSON bodies."""
+
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def read_body(self) -> bytes:
+        """Return the whole body of the request."""
+        return self.rfile.read(int(self.headers.get('Content-Length') or 0))
+
+    def reply(self, status: int, body: bytes) -> None:
+        """Send a whole reply in one write."""
+        head = (
+            f'HTTP/1.1 {status} .\r\n'
+            'Content-Type: application/json\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        self.wfile.write(head.encode() + body)
+
+    def reply_json(self, status: int, body: Any) -> None:
+        """Send a whole JSON reply."""
+        self.reply(status, msgspec.json.encode(body))
+
+    def log_message(self, *_: Any) -> None:
+        """Say nothing: the stand-ins keep records instead."""
+
+
+class StandInServer(socketserver.ThreadingTCPServer):
+    """One thread a connection, none of which holds up the end."""
+
+    allow_reuse_address = True
+    daemon_threads = True
+    block_on_close = False
+    request_queue_size = BACKLOG
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: type[StandInHandler],
+    ) -> None:
+        super().__init__(address, handler)
+        self.connections: set[socket.socket] = set()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Note the connection and serve it on a thread."""
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Forget the connection and close it."""
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def cut_connections(self) -> None:
+        """Cut all connections, as the death of a process does."""
+        for connection in tuple(self.connections):
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Pass over connections that the other side cut."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/basilwall/standin/platform.py
@@ -0,0 +1,152 @@
+"""A stand-in for the platform's configuration service and fleet list.
+
+Values are published by tests and by the demo; each change gets the next
+revision. The service counts its calls, a waiting watch as one.
+"""
+
+import threading
+import time
+from collections import deque
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+
+from basilwall.platform.client import WatchReply
+from basilwall.records.catalogue import PublishedValue
+from basilwall.standin.http_server import (
+    StandInHandler,
+    StandInServer,
+    split_address,
+)
+
+MAX_VALUE_BYTES = 1_048_576
+CALLS_A_SECOND = 2000
+HTTP_OK = 200
+HTTP_TOO_MANY = 429
+HTTP_TOO_LARGE = 413
+HTTP_UNAVAILABLE = 503
+
+
+class PlatformStandIn:
+    """Published values with revisions, and switches for outages."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.down = False
+        #: While stale, readers see nothing above this revision.
+        self.stale_at: int | None = None
+        self.calls = 0
+        self._recent: deque[float] = deque()
+        self._by_key: dict[str, PublishedValue] = {}
+        self._revision = 0
+        self._changed = threading.Condition()
+        self._server: StandInServer | None = None
+
+    def start(self) -> None:
+        """Listen, and serve on threads."""
+        stand_in = self
+
+        class Handler(_PlatformHandler):
+            platform = stand_in
+
+        self._server = StandInServer(split_address(self.address), Handler)
+        threading.Thread(
+            target=self._server.serve_forever,
+            kwargs={'poll_interval': 0.05},
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.shutdown()
+            server.server_close()
+            server.cut_connections()
+
+    def publish(self, key: str, body: bytes) -> int:
+        """Publish a value and return its revision."""
+        with self._changed:
+            self._revision += 1
+            revision = self._revision
+            self._by_key[key] = PublishedValue(key, revision, body)
+            self._changed.notify_all()
+        return revision
+
+    def watch(self, prefix: str, after: int, wait: float) -> WatchReply:
+        """Wait up to `wait` seconds for values above a revision."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._visible() > after, wait)
+            visible = self._visible()
+            values = tuple(
+                published
+                for published in self._by_key.values()
+                if after < published.revision <= visible
+                and published.key.startswith(prefix)
+            )
+        return WatchReply(max(after, visible), values)
+
+    def switch(self, *, down: bool, stale: bool) -> None:
+        """Go down or up, and freeze or thaw what readers see."""
+        with self._changed:
+            self.down = down
+            self.stale_at = self._revision if stale else None
+            self._changed.notify_all()
+
+    def allow(self) -> bool:
+        """Count one call; False if there are too many a second."""
+        now = time.monotonic()
+        with self._changed:
+            self.calls += 1
+            self._recent.append(now)
+            while self._recent[0] < now - 1:
+                self._recent.popleft()
+            return len(self._recent) <= CALLS_A_SECOND
+
+    def _visible(self) -> int:
+        if self.stale_at is not None:
+            return min(self.stale_at, self._revision)
+        return self._revision
+
+
+class _Change(msgspec.Struct):
+    down: bool = False
+    stale: bool = False
+
+
+class _PlatformHandler(StandInHandler):
+    platform: PlatformStandIn
+
+    def do_GET(self) -> None:
+        if self.platform.down:
+            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
+            return
+        if not self.platform.allow():
+            self.reply_json(HTTP_TOO_MANY, {'error': 'too many calls'})
+            return
+        fields = parse_qs(urlsplit(self.path).query)
+        reply = self.platform.watch(
+            fields['prefix'][0],
+            int(fields['after'][0]),
+            float(fields['wait_s'][0]),
+        )
+        if self.platform.down:
+            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
+            return
+        self.reply_json(HTTP_OK, reply)
+
+    def do_PUT(self) -> None:
+        """Publish a value, or change switches at /switches."""
+        body = self.read_body()
+        path = unquote(urlsplit(self.path).path)
+        if path == '/switches':
+            change = msgspec.json.decode(body, type=_Change)
+            self.platform.switch(down=change.down, stale=change.stale)
+            self.reply_json(HTTP_OK, change)
+            return
+        if len(body) > MAX_VALUE_BYTES:
+            self.reply_json(HTTP_TOO_LARGE, {'error': 'too large'})
+            return
+        key = path.removeprefix('/v1/values/')
+        revision = self.platform.publish(key, body)
+        self.reply_json(HTTP_OK, {'revision': revision})
--- /dev/null
+++ b/basilwall/standin/searcher.py
@@ -0,0 +1,301 @@
+"""A stand-in for one searcher, with switches for what goes wrong.
+
+It keeps a record of every request that it ran, which tests read as the
+truth. It is not a model of a search engine: its answer echoes the request.
+"""
+
+import random
+import select
+import socket
+import threading
+import time
+from collections import deque
+
+import msgspec
+
+from basilwall.records.attempt import SearcherReply
+from basilwall.standin.http_server import (
+    StandInHandler,
+    StandInServer,
+    split_address,
+)
+
+MILLISECONDS = 1000
+MAX_RECORDS = 100_000
+#: Records that each searcher claims to hold.
+RECORDS = 100
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+HTTP_TIMEOUT = 504
+
+_STATUS_BY_OUTCOME = {
+    'answered': HTTP_OK,
+    'shed': HTTP_UNAVAILABLE,
+    'leaving': HTTP_UNAVAILABLE,
+    'wrong_snapshot': HTTP_CONFLICT,
+    'late': HTTP_TIMEOUT,
+}
+
+
+class Switches(msgspec.Struct, kw_only=True):
+    """How a stand-in behaves; times are in milliseconds."""
+
+    snapshots: list[str] = msgspec.field(default_factory=lambda: ['s1'])
+    slots: int = 2
+    connections: int = 25
+    connect_ms: float = 0
+    service_ms: float = 2
+    #: The mean of an exponential time on top of `service_ms`.
+    spread_ms: float = 0
+    straggle: float = 1
+    queue_ms: float = 20
+    shed: bool = False
+    leaving: bool = False
+    #: Requests with this text in their body crash the searcher.
+    crash_on: str = ''
+    restart_ms: float = 500
+    #: Run the request and then cut the connection, without a reply.
+    run_then_cut: bool = False
+    cut_reply: bool = False
+    answer_twice: bool = False
+    #: Answer from this snapshot under the name of the one asked for.
+    claims: str = ''
+    covered_share: float = 1
+    health_lies: bool = False
+
+
+class RunRecord(msgspec.Struct):
+    """One request that ran, or crashed the searcher while it ran."""
+
+    kind: str
+    request_id: str
+    attempt_id: str
+    snapshot: str
+    body: str
+    crashed: bool = False
+
+
+class SearcherStandIn:
+    """One searcher on an address of its own."""
+
+    def __init__(
+        self,
+        address: str,
+        instance: str,
+        switches: Switches | None = None,
+        seed: int = 0,
+    ) -> None:
+        self.address = address
+        self.instance = instance
+        self.switches = switches or Switches()
+        self.records: deque[RunRecord] = deque(maxlen=MAX_RECORDS)
+        self.running = 0
+        self.highest_running = 0
+        self.arrived = 0
+        self.source = random.Random(f'{seed}/{address}')
+        self.slot_free = threading.Condition()
+        self._server: StandInServer | None = None
+
+    def start(self) -> None:
+        """Listen, and serve on threads."""
+        stand_in = self
+
+        class Handler(_SearcherHandler):
+            searcher = stand_in
+
+        server = StandInServer(split_address(self.address), Handler)
+        self._server = server
+        threading.Thread(
+            target=server.serve_forever,
+            kwargs={'poll_interval': 0.05},
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.shutdown()
+            server.server_close()
+            server.cut_connections()
+
+    def crash(self) -> None:
+        """Die now and come back after `restart_ms`."""
+        threading.Thread(target=self._crash, daemon=True).start()
+
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._server.connections) if self._server else 0
+
+    def enter(self, deadline: float) -> bool:
+        """Take a slot, waiting a little; False if none came free."""
+        wait = min(self.switches.queue_ms / MILLISECONDS, deadline)
+        with self.slot_free:
+            self.slot_free.wait_for(self._has_slot, wait)
+            if not self._has_slot():
+                return False
+            self.running += 1
+            self.highest_running = max(self.highest_running, self.running)
+        return True
+
+    def leave(self) -> None:
+        """Give the slot back."""
+        with self.slot_free:
+            self.running -= 1
+            self.slot_free.notify()
+
+    def _has_slot(self) -> bool:
+        return self.running < self.switches.slots
+
+    def _crash(self) -> None:
+        self.stop()
+        time.sleep(self.switches.restart_ms / MILLISECONDS)
+        self.start()
+
+
+class _SearcherHandler(StandInHandler):
+    searcher: SearcherStandIn
+
+    def setup(self) -> None:
+        super().setup()
+        self._pending_connect_ms = self.searcher.switches.connect_ms
+
+    def do_GET(self) -> None:
+        searcher = self.searcher
+        if self.path == '/records':
+            self.reply_json(HTTP_OK, list(searcher.records))
+        elif self.path == '/health':
+            healthy = searcher.switches.health_lies or not searcher.running
+            self.reply_json(HTTP_OK, {'healthy': healthy})
+        else:
+            self.reply_json(
+                HTTP_OK,
+                {
+                    'running': searcher.running,
+                    'highest_running': searcher.highest_running,
+                    'connections': searcher.open_connections(),
+                    'arrived': searcher.arrived,
+                },
+            )
+
+    def do_PUT(self) -> None:
+        """Change switches: a JSON object with those that change."""
+        changed = msgspec.json.decode(self.read_body())
+        held = msgspec.to_builtins(self.searcher.switches)
+        self.searcher.switches = msgspec.convert(held | changed, Switches)
+        self.reply_json(HTTP_OK, self.searcher.switches)
+
+    def do_POST(self) -> None:
+        if self._pending_connect_ms:
+            time.sleep(self._pending_connect_ms / MILLISECONDS)
+            self._pending_connect_ms = 0
+        body = self.read_body()
+        self.searcher.arrived += 1
+        refusal = self._refusal()
+        if refusal:
+            self._send(refusal, b'[]')
+            return
+        if not self.searcher.enter(self._timeout()):
+            self._send('shed', b'[]')
+            return
+        try:
+            self._run(body)
+        finally:
+            self.searcher.leave()
+
+    def _refusal(self) -> str:
+        switches = self.searcher.switches
+        if self.searcher.open_connections() > switches.connections:
+            return 'shed'
+        if switches.leaving:
+            return 'leaving'
+        if switches.shed:
+            return 'shed'
+        wanted = self.headers.get('Snapshot')
+        return '' if wanted in switches.snapshots else 'wrong_snapshot'
+
+    def _timeout(self) -> float:
+        return float(self.headers.get('Timeout-Ms') or 0) / MILLISECONDS
+
+    def _run(self, body: bytes) -> None:
+        switches = self.searcher.switches
+        record = RunRecord(
+            self.path.rsplit('/', 1)[-1],
+            self.headers.get('Request-Id') or '',
+            self.headers.get('Attempt-Id') or '',
+            self.headers.get('Snapshot') or '',
+            body.decode(errors='replace'),
+        )
+        if switches.crash_on and switches.crash_on in record.body:
+            record.crashed = True
+            self.searcher.records.append(record)
+            self.searcher.crash()
+            self.close_connection = True
+            return
+        if self._cancelled_while_working(switches):
+            self.close_connection = True
+            return
+        self.searcher.records.append(record)
+        if switches.run_then_cut:
+            self.close_connection = True
+            return
+        self._send('answered', self._answer(record, body))
+
+    def _cancelled_while_working(self, switches: Switches) -> bool:
+        spread = switches.spread_ms
+        drawn = self.searcher.source.expovariate(1 / spread) if spread else 0
+        work_ms = (switches.service_ms + drawn) * switches.straggle
+        if not work_ms:
+            return False
+        poller = select.poll()
+        poller.register(self.connection, select.POLLIN)
+        if not poller.poll(work_ms):
+            return False
+        return not self.connection.recv(1, socket.MSG_PEEK)
+
+    def _answer(self, record: RunRecord, body: bytes) -> bytes:
+        switches = self.searcher.switches
+        found = {
+            'instance': self.searcher.instance,
+            'snapshot': switches.claims or record.snapshot,
+            'echo': msgspec.Raw(body or b'null'),
+        }
+        return msgspec.json.encode([found])
+
+    def _send(self, outcome: str, records: bytes) -> None:
+        switches = self.searcher.switches
+        reply = msgspec.json.encode(
+            SearcherReply(
+                outcome=outcome,
+                attempt_id=self.headers.get('Attempt-Id') or '',
+                snapshot=switches.claims or self.headers.get('Snapshot') or '',
+                records=msgspec.Raw(records),
+                covered=int(RECORDS * switches.covered_share),
+                total=RECORDS,
+                leaving=switches.leaving,
+                serves=tuple(switches.snapshots),
+            ),
+        )
+        if switches.cut_reply:
+            self.connection.sendall(
+                b'HTTP/1.1 200 .\r\nContent-Length: %d\r\n\r\n%s'
+                % (len(reply), reply[: len(reply) // 2]),
+            )
+            self.close_connection = True
+            return
+        self.reply(_STATUS_BY_OUTCOME[outcome], reply)
+        if switches.answer_twice:
+            self.reply(_STATUS_BY_OUTCOME[outcome], reply)
+
+
+def serve_searchers(
+    searchers: list[SearcherStandIn],
+    stopping: threading.Event,
+) -> None:
+    """Serve searchers until `stopping` is set."""
+    for searcher in searchers:
+        searcher.start()
+    stopping.wait()
+    for searcher in searchers:
+        searcher.stop()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Whole sessions over separate processes."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,220 @@
+"""Start VMs and stand-ins as processes of their own, and end them."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from basilwall.standin.demo import free_ports
+from basilwall.standin.deployment import SHAPES_BY_DEPLOYMENT
+
+HOST = '127.0.0.1'
+PATIENCE = 20.0
+KEY = b'a-key-that-only-tests-use-0123456789'
+
+
+@dataclass
+class Reply:
+    """One HTTP reply."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self):
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def http_call(address, method, path, body=b'', headers=None, timeout=10):
+    """Make one request on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return Reply(
+            response.status,
+            response.read(),
+            dict(response.getheaders()),
+        )
+    finally:
+        connection.close()
+
+
+def wait_until(condition: Callable[[], bool], patience=PATIENCE):
+    """Wait on a condition; fail if it doesn't come true in time."""
+    end = time.monotonic() + patience
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            if condition():
+                return
+        time.sleep(0.02)
+    raise AssertionError('the condition did not come true')
+
+
+@dataclass
+class Vm:
+    """One entry VM as a process."""
+
+    settings: Path
+    caller: str
+    peer: str
+    process: subprocess.Popen = None
+
+    def start(self):
+        """Start the process and wait until it is ready."""
+        self.process = _run('serve', '--settings', str(self.settings))
+        wait_until(self.is_ready)
+
+    def is_ready(self):
+        """Return whether the balancer may send callers here."""
+        return http_call(self.caller, 'GET', '/readyz').status == 200
+
+    def status(self):
+        """Return the operators' report."""
+        return http_call(self.caller, 'GET', '/statusz').json()
+
+    def call(self, path, body=b'{}', headers=None):
+        """Post to the VM."""
+        return http_call(self.caller, 'POST', path, body, headers)
+
+    def signal(self, number):
+        """Send a signal to the process."""
+        os.kill(self.process.pid, number)
+
+
+@dataclass
+class Deployment:
+    """The processes of one deployment."""
+
+    name: str
+    first_port: int
+    platform: str
+    vms: list[Vm]
+    processes: list[subprocess.Popen] = field(default_factory=list)
+
+    def searchers(self):
+        """Return the addresses of all searchers."""
+        count = sum(
+            shape.instances * shape.searchers
+            for shape in SHAPES_BY_DEPLOYMENT[self.name]
+        )
+        return [f'{HOST}:{self.first_port + i}' for i in range(count)]
+
+    def records(self, kind, service=None):
+        """Return what the searchers themselves say that they ran."""
+        return [
+            record
+            for address in self.searchers()
+            for record in http_call(address, 'GET', '/records').json()
+            if record['kind'] == kind
+        ]
+
+    def switch(self, address, **switches):
+        """Change switches of a searcher."""
+        http_call(address, 'PUT', '/switches', json.dumps(switches).encode())
+
+    def publish(self, key, body):
+        """Publish a value and return its revision."""
+        reply = http_call(self.platform, 'PUT', f'/v1/values/{key}', body)
+        return reply.json()['revision']
+
+
+def _run(*arguments):
+    return subprocess.Popen(
+        [sys.executable, '-m', 'basilwall', *arguments],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL if not os.environ.get('SHOW_LOGS') else None,
+    )
+
+
+def _end(process):
+    if process is None or process.poll() is not None:
+        return
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, signal.SIGCONT)
+        process.kill()
+    process.wait()
+
+
+@contextlib.contextmanager
+def deployment(
+    name: str,
+    folder: Path,
+    vms: int = 2,
+    service_ms: float = 2,
+    processes: int = 2,
+    **settings,
+) -> Iterator[Deployment]:
+    """Run a deployment for the length of a block."""
+    shapes = SHAPES_BY_DEPLOYMENT[name]
+    count = sum(shape.instances * shape.searchers for shape in shapes)
+    base = free_ports(count + 1 + 2 * vms)
+    platform = f'{HOST}:{base + count}'
+    key_file = folder / 'ticket.key'
+    key_file.write_bytes(KEY)
+    made = Deployment(name, base, platform, [])
+    for number in range(vms):
+        port = base + count + 1 + 2 * number
+        path = folder / f'vm-{number}.json'
+        content = {
+            'caller_address': f'{HOST}:{port}',
+            'peer_address': f'{HOST}:{port + 1}',
+            'platform_addresses': [platform],
+            'zone': f'zone-{number}',
+            'region': 'region-0',
+            'ticket_key_file': str(key_file),
+            'stop': {'balancer_lag_s': 0.5},
+            **settings,
+        }
+        path.write_text(json.dumps(content))
+        made.vms.append(
+            Vm(path, content['caller_address'], content['peer_address']),
+        )
+    try:
+        _start(made, service_ms, processes)
+        yield made
+    finally:
+        for process in [vm.process for vm in made.vms] + made.processes:
+            _end(process)
+
+
+def _start(made, service_ms, processes):
+    for place in range(processes):
+        made.processes.append(
+            _run(
+                'standin',
+                'searchers',
+                f'--deployment={made.name}',
+                f'--first-port={made.first_port}',
+                f'--service-ms={service_ms}',
+                f'--share={processes}',
+                f'--place={place}',
+            ),
+        )
+    peers = [f'--vm={vm.peer}' for vm in made.vms]
+    made.processes.append(
+        _run(
+            'standin',
+            'platform',
+            f'--listen={made.platform}',
+            f'--deployment={made.name}',
+            f'--first-port={made.first_port}',
+            *peers,
+        ),
+    )
+    for address in made.searchers():
+        wait_until(
+            lambda address=address: (
+                http_call(address, 'GET', '/load').status == 200
+            ),
+        )
+    for vm in made.vms:
+        vm.start()
