--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -10,10 +10,14 @@
 from typing import Annotated
 
 import typer
+from rich.console import Console
 
 from basilwall.checking.reader import CheckError, read_checked
+from basilwall.checking.schemas import SchemaName, schema_text
 from basilwall.document.model import Document
+from basilwall.operators.asking import StatusError, ask_status, read_status
 from basilwall.operators.logs import set_up_logs
+from basilwall.operators.table import print_status
 from basilwall.settings.model import load_settings
 from basilwall.standin.commands import standin_app
 from basilwall.standin.demo import demo_vm, run_demo
@@ -70,6 +74,32 @@
         vm.stop(hurry)
 
 
+@app.command()
+def status(
+    address: Annotated[str, typer.Argument(help='host:port for callers')],
+    as_json: Annotated[bool, typer.Option('--json')] = False,
+) -> None:
+    """Show what a VM reports of itself."""
+    try:
+        body = ask_status(address)
+        report = read_status(body)
+    except StatusError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
+    if as_json:
+        typer.echo(body.decode())
+    else:
+        print_status(report, Console())
+
+
+@app.command()
+def schema(
+    name: Annotated[SchemaName, typer.Argument(help='Which file.')],
+) -> None:
+    """Print the JSON Schema of a file."""
+    typer.echo(schema_text(name), nl=False)
+
+
 @check_app.command('settings')
 def check_settings(path: FileArgument) -> None:
     """Check the settings of a VM."""
--- /dev/null
+++ b/basilwall/operators/asking.py
@@ -0,0 +1,54 @@
+"""Ask a running VM for its status report."""
+
+import http.client
+
+import msgspec
+
+from basilwall.operators.status import StatusReport
+
+TIMEOUT = 5.0
+_decoder = msgspec.json.Decoder(StatusReport)
+
+
+class StatusError(Exception):
+    """The VM gave no report."""
+
+
+def ask_status(address: str) -> bytes:
+    """Return the report of a VM as JSON.
+
+    Args:
+        address: The VM's address for callers, `host:port`.
+
+    Returns:
+        The body of the reply.
+
+    Raises:
+        StatusError: If the VM does not answer.
+    """
+    connection = http.client.HTTPConnection(address, timeout=TIMEOUT)
+    try:
+        connection.request('GET', '/statusz')
+        return connection.getresponse().read()
+    except (OSError, http.client.HTTPException) as error:
+        raise StatusError(f'{address}: {error}') from error
+    finally:
+        connection.close()
+
+
+def read_status(body: bytes) -> StatusReport:
+    """Return the decoded report.
+
+    Args:
+        body: What `ask_status` returned.
+
+    Returns:
+        The report.
+
+    Raises:
+        StatusError: If the body is not a report.
+    """
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise StatusError(f'not a status report: {error}') from error
--- /dev/null
+++ b/basilwall/operators/table.py
@@ -0,0 +1,106 @@
+"""The status report of a VM as tables for a terminal."""
+
+from collections.abc import Iterable, Sequence
+
+from rich.console import Console
+from rich.table import Table
+
+from basilwall.operators.status import StatusReport
+
+Row = Sequence[object]
+
+
+def print_status(report: StatusReport, console: Console) -> None:
+    """Print a report as tables.
+
+    Args:
+        report: What the VM said of itself.
+        console: Where to print.
+    """
+    _print(console, 'VM', ('what', 'value'), _vm_rows(report))
+    _print(
+        console,
+        'Values in force',
+        ('key', 'revision', 'refused', 'why refused'),
+        _value_rows(report),
+    )
+    _print(
+        console,
+        'Searchers leaving',
+        ('searcher', 'sign seen, s ago'),
+        [
+            (address, round(age, 1))
+            for address, age in report.leaving_searchers.items()
+        ],
+    )
+    _print(
+        console,
+        'Quarantine',
+        ('fingerprint', 'searchers lost'),
+        [
+            (mark, ', '.join(searchers))
+            for mark, searchers in report.quarantine.items()
+        ],
+    )
+    _print(
+        console,
+        'Latency, ms',
+        ('request', 'count', 'p50', 'p99', 'p99.9'),
+        [
+            (name, one.count, one.p50_ms, one.p99_ms, one.p999_ms)
+            for name, one in sorted(report.latencies.items())
+        ],
+    )
+    _print(
+        console,
+        'Counters',
+        ('name', 'count'),
+        sorted(report.counters.items()),
+    )
+
+
+def extra_load(counters: dict[str, int]) -> float:
+    """Return attempts beyond the least needed, as a share of the least."""
+    sums = {
+        suffix: sum(
+            count for name, count in counters.items() if name.endswith(suffix)
+        )
+        for suffix in ('.attempts', '.least_attempts')
+    }
+    least = sums['.least_attempts']
+    return sums['.attempts'] / least - 1 if least else 0
+
+
+def _vm_rows(report: StatusReport) -> Iterable[Row]:
+    vm, platform = report.vm, report.platform
+    read = 'never' if platform.age_s is None else f'{platform.age_s:.1f} s ago'
+    return [
+        ('address', vm.address),
+        ('zone', vm.zone),
+        ('stopping', 'yes' if vm.stopping else 'no'),
+        ('requests in flight', vm.in_flight),
+        ('tickets', vm.tickets),
+        ('peers heard from', ', '.join(vm.peers) or 'none'),
+        ('platform read', read),
+        ('platform failures in a row', platform.failures),
+        ('extra load', f'{extra_load(report.counters):.2%}'),
+    ]
+
+
+def _value_rows(report: StatusReport) -> Iterable[Row]:
+    return [
+        (key, one.revision, one.refused_revision or '', one.refusal)
+        for key, one in sorted(report.values.items())
+    ]
+
+
+def _print(
+    console: Console,
+    title: str,
+    heads: Sequence[str],
+    rows: Iterable[Row],
+) -> None:
+    table = Table(*heads, title=title, title_justify='left')
+    for row in rows:
+        table.add_row(*map(str, row))
+    console.print(table if table.row_count else f'{title}: none')
