--- a/basilwall/caller/app.py
+++ b/basilwall/caller/app.py
@@ -2,19 +2,18 @@
 
 import logging
 import re
-import uuid
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from basilwall.caller.request import BadRequestError, CallerRequest
 from basilwall.caller.service import CallerService
 from basilwall.caller.wire import Problem, Reply, problem_reply
-from basilwall.records.ids import RequestId, ServiceName
+from basilwall.records.ids import ServiceName
 
 if TYPE_CHECKING:
     from wsgiref.types import StartResponse, WSGIEnvironment
 
-MAX_ID_LENGTH = 64
 _SERVICE_PATH = re.compile(
     '/v1/services/(?P<service>[^/]+)/(?P<action>query|tickets|orders)',
 )
@@ -23,36 +22,6 @@
 _ServiceRoute = Callable[[ServiceName, 'CallerRequest'], Reply]
 
 
-class CallerRequest:
-    """One request as WSGI presents it."""
-
-    def __init__(self, environ: 'WSGIEnvironment') -> None:
-        self._environ = environ
-        given = self.header('Request-Id')
-        usable = 0 < len(given) <= MAX_ID_LENGTH and given.isprintable()
-        self.request_id = RequestId(given if usable else uuid.uuid4().hex)
-
-    @property
-    def method(self) -> str:
-        """The HTTP method."""
-        return str(self._environ['REQUEST_METHOD'])
-
-    @property
-    def path(self) -> str:
-        """The path without its query string."""
-        return str(self._environ.get('PATH_INFO', ''))
-
-    def header(self, name: str) -> str:
-        """Return a header, or an empty text."""
-        key = name.upper().replace('-', '_')
-        return str(self._environ.get(f'HTTP_{key}', ''))
-
-    def body(self) -> bytes:
-        """Read the whole body."""
-        length = int(self._environ.get('CONTENT_LENGTH') or 0)
-        return bytes(self._environ['wsgi.input'].read(length))
-
-
 class CallerApp:
     """Routes requests to the caller service."""
 
@@ -78,6 +47,9 @@
         request = CallerRequest(environ)
         try:
             reply = self._route(request)
+        except BadRequestError as error:
+            self._service.count_bad_request()
+            reply = _problem(request, error.status, 'not_run', str(error))
         except Exception:
             _log.exception('request failed')
             reply = _problem(
@@ -113,12 +85,14 @@
     request: CallerRequest,
     status: HTTPStatus,
     outcome: str,
+    detail: str = '',
 ) -> Reply:
     return problem_reply(
         Problem(
             type='about:blank',
             title=status.phrase,
             status=status,
+            detail=detail,
             request_id=request.request_id,
             outcome=outcome,
         ),
--- a/basilwall/caller/service.py
+++ b/basilwall/caller/service.py
@@ -3,11 +3,11 @@
 import time
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
 import msgspec
 
 from basilwall.caller.admission import Admission, NotAdmittedError
+from basilwall.caller.request import CallerRequest
 from basilwall.caller.wire import (
     JSON,
     Reply,
@@ -17,7 +17,7 @@
     order_reply,
     refusal_reply,
 )
-from basilwall.document.model import MAX_DEADLINE_MS, Document
+from basilwall.document.model import Document
 from basilwall.operators.metrics import Metrics
 from basilwall.operators.status import StatusReport
 from basilwall.order.desk import OrderDesk, OrderRequest
@@ -26,25 +26,13 @@
 from basilwall.query.progress import Query
 from basilwall.query.runner import QueryRunner
 from basilwall.records.answer import QueryAnswer, Refusal, RefusalReason
-from basilwall.records.ids import RequestId, ServiceName
+from basilwall.records.ids import ServiceName
 from basilwall.records.order import OrderOutcome, OrderReason, OrderState
 
 MILLISECONDS = 1000
 RETRY_AFTER_MS = 100
 
 
-class Incoming(Protocol):
-    """What is read of a caller's request."""
-
-    request_id: RequestId
-
-    def header(self, name: str) -> str:
-        """Return a header, or an empty text."""
-
-    def body(self) -> bytes:
-        """Read the whole body."""
-
-
 class CallerService:
     """Answers callers from the parts behind it."""
 
@@ -67,7 +55,7 @@
         self._report = report
         self._clock = clock
 
-    def query(self, service: ServiceName, request: Incoming) -> Reply:
+    def query(self, service: ServiceName, request: CallerRequest) -> Reply:
         """Answer a query, or refuse it at once."""
         document = self._state.document_by_service.get(service)
         if document is None:
@@ -91,7 +79,7 @@
             return answer_reply(outcome)
         return refusal_reply(outcome)
 
-    def ticket(self, service: ServiceName, request: Incoming) -> Reply:
+    def ticket(self, service: ServiceName, request: CallerRequest) -> Reply:
         """Issue a ticket for one order."""
         if service not in self._state.document_by_service:
             return refusal_reply(_unknown_service(request))
@@ -103,7 +91,7 @@
             ),
         )
 
-    def order(self, service: ServiceName, request: Incoming) -> Reply:
+    def order(self, service: ServiceName, request: CallerRequest) -> Reply:
         """Run an order once, or say what became of it."""
         document = self._state.document_by_service.get(service)
         started = time.monotonic()
@@ -115,6 +103,10 @@
         )
         return order_reply(request.request_id, outcome)
 
+    def count_bad_request(self) -> None:
+        """Count a request that was not understood."""
+        self._metrics.count('bad_requests')
+
     def live(self) -> Reply:
         """Say that the process runs."""
         return Reply(HTTPStatus.OK, b'{"live":true}')
@@ -133,7 +125,7 @@
     def _order(
         self,
         service: ServiceName,
-        request: Incoming,
+        request: CallerRequest,
         document: Document | None,
     ) -> OrderOutcome:
         ticket = request.header('Idempotency-Key').strip('"')
@@ -161,14 +153,12 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
-    def _deadline(self, request: Incoming, default_ms: int) -> float:
-        text = request.header('Request-Timeout-Ms')
-        asked = int(text) if text.isdecimal() else default_ms
-        bounded = min(max(asked, 1), MAX_DEADLINE_MS)
-        return self._clock.monotonic() + bounded / MILLISECONDS
+    def _deadline(self, request: CallerRequest, default_ms: int) -> float:
+        asked = request.timeout_ms(default_ms)
+        return self._clock.monotonic() + asked / MILLISECONDS
 
 
-def _unknown_service(request: Incoming) -> Refusal:
+def _unknown_service(request: CallerRequest) -> Refusal:
     return Refusal(
         request.request_id,
         RefusalReason.UNKNOWN_SERVICE,
--- a/basilwall/caller/wire.py
+++ b/basilwall/caller/wire.py
@@ -47,6 +47,7 @@
     type: str
     title: str
     status: int
+    detail: str = ''
     request_id: str = ''
     outcome: str = ''
     reason: str = ''
