Load VMs at a fixed rate and report what callers saw

Arrivals are drawn from a seed before they are sent, latency runs from the intended time, and only loopback may be loaded. `make bench` prints the first scenario: what the tier adds to a query against a client that fans out by itself to the same searchers.

Ruled out: a closed loop (a stall would slow the load and hide itself), and a thread for each request without a cap (memory).

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 clean:
 	rm -rf $(VENV) dist build *.egg-info
+
+bench: $(VENV)/installed
+	$(RUN)/python -m bench
--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -13,6 +13,7 @@
 
 from basilwall.checking.reader import CheckError, read_checked
 from basilwall.document.model import Document
+from basilwall.load.commands import load_command
 from basilwall.operators.logs import set_up_logs
 from basilwall.settings.model import load_settings
 from basilwall.standin.commands import standin_app
@@ -23,6 +24,7 @@
 check_app = typer.Typer(no_args_is_help=True)
 app.add_typer(check_app, name='check', help='Check a file.')
 app.add_typer(standin_app, name='standin', help='Run stand-ins.')
+app.command('load')(load_command)
 
 FileArgument = Annotated[Path, typer.Argument(metavar='FILE')]
 
--- a/basilwall/load/__init__.py
+++ b/basilwall/load/__init__.py
@@ -1,1 +1,1 @@
-"""Open-loop load with a report."""
+"""Open-loop load on VMs of this machine, and a report of what callers saw."""
--- /dev/null
+++ b/basilwall/load/commands.py
@@ -0,0 +1,65 @@
+"""The command line of the load tool."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from basilwall.load.plan import LoadPlan, PlanError
+from basilwall.load.run import LoadRun
+from basilwall.load.table import PlotError, save_plot, table
+from basilwall.records.ids import ClassName, ServiceName
+
+WRONG_USE = 2
+
+
+def load_command(
+    vm: Annotated[list[str], typer.Option(help='host:port for callers.')],
+    service: Annotated[list[str], typer.Option(help='Service to query.')],
+    class_name: Annotated[
+        list[str] | None,
+        typer.Option('--class', help='Class of callers.'),
+    ] = None,
+    rate: Annotated[float, typer.Option(help='Requests a second.')] = 50,
+    seconds: Annotated[float, typer.Option(help='Length of the run.')] = 10,
+    max_requests: Annotated[int, typer.Option(help='Most to send.')] = 100_000,
+    max_in_flight: Annotated[int, typer.Option(help='Most at once.')] = 256,
+    timeout_ms: Annotated[int, typer.Option(help='0: the document.')] = 0,
+    resends: Annotated[int, typer.Option(help='Resends of refused ones.')] = 0,
+    seed: Annotated[int, typer.Option(help='Draws the arrivals.')] = 1,
+    as_json: Annotated[bool, typer.Option('--json')] = False,
+    plot: Annotated[Path | None, typer.Option(help='File to draw to.')] = None,
+) -> None:
+    """Load VMs on this machine at a fixed rate and report the tail."""
+    plan = LoadPlan(
+        addresses=tuple(vm),
+        services=tuple(ServiceName(name) for name in service),
+        classes=tuple(ClassName(name) for name in class_name or ['default']),
+        rate=rate,
+        seconds=seconds,
+        max_requests=max_requests,
+        max_in_flight=max_in_flight,
+        timeout_ms=timeout_ms,
+        resends=resends,
+        seed=seed,
+    )
+    try:
+        run = LoadRun(plan)
+    except PlanError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(WRONG_USE) from error
+    report = run.run()
+    shown = msgspec.json.encode(report).decode() if as_json else table(report)
+    typer.echo(shown)
+    _draw(run, plot)
+
+
+def _draw(run: LoadRun, path: Path | None) -> None:
+    if path is None:
+        return
+    try:
+        save_plot(run.tally.answered, path)
+    except (PlotError, OSError, ValueError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
--- /dev/null
+++ b/basilwall/load/exchange.py
@@ -0,0 +1,107 @@
+"""One request of a load run, and what came of it.
+
+A caller's view only: the status, the coverage that the answer states, and
+when to come back.
+"""
+
+import http.client
+import threading
+from enum import Enum
+from http import HTTPStatus
+
+import msgspec
+
+from basilwall.load.plan import Arrival
+
+#: Time beyond a request's own before the tool gives up, in seconds.
+PATIENCE = 5.0
+MILLISECONDS = 1000
+
+
+class Outcome(Enum):
+    """How a request ended for its caller."""
+
+    COMPLETE = 'complete'
+    PARTIAL = 'partial'
+    REFUSED = 'refused'
+    GIVEN_UP = 'given_up'
+    FAILED = 'failed'
+    #: The tool itself had no room for it, so the run is void above that.
+    NOT_SENT = 'not_sent'
+
+
+class CoverageSeen(msgspec.Struct, frozen=True):
+    """The parts that an answer states to cover."""
+
+    answered: int = 0
+    total: int = 0
+    complete: bool = False
+
+
+class BodySeen(msgspec.Struct, frozen=True):
+    """What the tool reads of an answer or of a problem."""
+
+    coverage: CoverageSeen | None = None
+    reason: str = ''
+    retry_after_ms: int = 0
+
+
+class Exchange(msgspec.Struct, frozen=True):
+    """One request and its final reply."""
+
+    outcome: Outcome
+    body: BodySeen = BodySeen()
+
+
+_decoder = msgspec.json.Decoder(BodySeen)
+_OUTCOME_BY_STATUS = {
+    HTTPStatus.SERVICE_UNAVAILABLE: Outcome.REFUSED,
+    HTTPStatus.GATEWAY_TIMEOUT: Outcome.GIVEN_UP,
+}
+
+
+class Callers:
+    """Kept-alive connections, one for each thread and address."""
+
+    def __init__(self, timeout_ms: int) -> None:
+        self._headers = {'Content-Type': 'application/json'}
+        if timeout_ms:
+            self._headers['Request-Timeout-Ms'] = str(timeout_ms)
+        self._patience = PATIENCE + timeout_ms / MILLISECONDS
+        self._local = threading.local()
+
+    def send(self, arrival: Arrival) -> Exchange:
+        """Send one request and read its whole reply."""
+        connection = self._connection(arrival.address)
+        try:
+            connection.request(
+                'POST',
+                f'/v1/services/{arrival.service}/query',
+                b'{"find":%d}' % arrival.number,
+                self._headers | {'Request-Class': arrival.class_name},
+            )
+            response = connection.getresponse()
+            return _exchange(response.status, response.read())
+        except (OSError, http.client.HTTPException, msgspec.DecodeError):
+            connection.close()
+            return Exchange(Outcome.FAILED)
+
+    def _connection(self, address: str) -> http.client.HTTPConnection:
+        by_address = self._local.__dict__
+        connection = by_address.get(address)
+        if connection is None:
+            connection = http.client.HTTPConnection(
+                address,
+                timeout=self._patience,
+            )
+            by_address[address] = connection
+        return connection
+
+
+def _exchange(status: int, raw: bytes) -> Exchange:
+    body = _decoder.decode(raw)
+    if status != HTTPStatus.OK:
+        outcome = _OUTCOME_BY_STATUS.get(HTTPStatus(status), Outcome.FAILED)
+        return Exchange(outcome, body)
+    complete = body.coverage is not None and body.coverage.complete
+    return Exchange(Outcome.COMPLETE if complete else Outcome.PARTIAL, body)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks over separate processes; no part of the product."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,23 @@
+"""Runs all scenarios, or those named on the command line."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+from bench import data_path
+from bench.report import show
+
+SCENARIOS = {
+    'data-path': data_path.run,
+}
+
+
+def main() -> None:
+    """Run and print."""
+    for name in sys.argv[1:] or SCENARIOS:
+        with tempfile.TemporaryDirectory() as folder:
+            show(name, SCENARIOS[name](Path(folder)))
+
+
+if __name__ == '__main__':
+    main()
