Take the load tool's connection that was used last

A connection for each thread gave the VM up to 256 idle ones that its server polls on every turn, which is a load of the tool's own making.

--- a/basilwall/load/exchange.py
+++ b/basilwall/load/exchange.py
@@ -5,7 +5,7 @@
 """
 
 import http.client
-import threading
+from collections import defaultdict, deque
 from enum import Enum
 from http import HTTPStatus
 
@@ -53,6 +53,7 @@
     body: BodySeen = BodySeen()
 
 
+_Idle = deque[http.client.HTTPConnection]
 _decoder = msgspec.json.Decoder(BodySeen)
 _OUTCOME_BY_STATUS = {
     HTTPStatus.SERVICE_UNAVAILABLE: Outcome.REFUSED,
@@ -61,18 +62,22 @@
 
 
 class Callers:
-    """Kept-alive connections, one for each thread and address."""
+    """Kept-alive connections, the one used last taken first.
+
+    So there are only as many as requests were in flight at once, as with a
+    balancer that pools its connections.
+    """
 
     def __init__(self, timeout_ms: int) -> None:
         self._headers = {'Content-Type': 'application/json'}
         if timeout_ms:
             self._headers['Request-Timeout-Ms'] = str(timeout_ms)
         self._patience = PATIENCE + timeout_ms / MILLISECONDS
-        self._local = threading.local()
+        self._idle_by_address: defaultdict[str, _Idle] = defaultdict(deque)
 
     def send(self, arrival: Arrival) -> Exchange:
         """Send one request and read its whole reply."""
-        connection = self._connection(arrival.address)
+        connection = self._take(arrival.address)
         try:
             connection.request(
                 'POST',
@@ -81,21 +86,24 @@
                 self._headers | {'Request-Class': arrival.class_name},
             )
             response = connection.getresponse()
-            return _exchange(response.status, response.read())
+            exchange = _exchange(response.status, response.read())
         except (OSError, http.client.HTTPException, msgspec.DecodeError):
             connection.close()
             return Exchange(Outcome.FAILED)
+        self._idle_by_address[arrival.address].append(connection)
+        return exchange
 
-    def _connection(self, address: str) -> http.client.HTTPConnection:
-        by_address = self._local.__dict__
-        connection = by_address.get(address)
-        if connection is None:
-            connection = http.client.HTTPConnection(
-                address,
-                timeout=self._patience,
-            )
-            by_address[address] = connection
-        return connection
+    def close(self) -> None:
+        """Close all connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.close()
+
+    def _take(self, address: str) -> http.client.HTTPConnection:
+        try:
+            return self._idle_by_address[address].pop()
+        except IndexError:
+            return http.client.HTTPConnection(address, timeout=self._patience)
 
 
 def _exchange(status: int, raw: bytes) -> Exchange:
--- a/basilwall/load/run.py
+++ b/basilwall/load/run.py
@@ -51,6 +51,7 @@
                     pool.submit(self._send, arrival)
                 else:
                     self._add(arrival, Exchange(Outcome.NOT_SENT))
+        self._callers.close()
         after = read_counters(self._plan.addresses)
         return self._report(extra_load(before, after))
 
