--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -15,6 +15,7 @@
 from basilwall.checking.reader import CheckError, read_checked
 from basilwall.checking.schemas import SchemaName, schema_text
 from basilwall.document.model import Document
+from basilwall.load.commands import load_command
 from basilwall.operators.asking import StatusError, ask_status, read_status
 from basilwall.operators.logs import set_up_logs
 from basilwall.operators.table import print_status
@@ -27,6 +28,7 @@
 check_app = typer.Typer(no_args_is_help=True)
 app.add_typer(check_app, name='check', help='Check a file.')
 app.add_typer(standin_app, name='standin', help='Run stand-ins.')
+app.command('load')(load_command)
 
 FileArgument = Annotated[Path, typer.Argument(metavar='FILE')]
 
