Take only whole replies that belong to their attempt

Cause: http.client returns a body that ends before its Content-Length without an error, a searcher that wrote outcome "lost" or "not_sent" was believed to have said "not run", and HTTP status and outcome were never compared. An id that is no Latin-1 text raised an error that ended the connection's task. The timeout bounded each read alone, so a reply in single bytes outlived its deadline. A cancelled attempt could shut down the connection after it had moved on to the next attempt.

Ruled out: trusting that a cut body fails as JSON; a Content-Length that is too large goes unseen then. Refusing replies that end with the connection; a JSON object shows its own end, and the connection is closed anyway.

Conclusion: what a reply means stands in backend/replies.py, and an abort names its attempt.

--- a/basilwall/backend/connection.py
+++ b/basilwall/backend/connection.py
@@ -1,26 +1,28 @@
 """One HTTP connection to a searcher.
 
 A connection whose reply was not read to its end is closed and never used
-again, so a late reply can't be taken for that of the next request.
+again, so a late reply can't be taken for that of the next request. A body
+that ends before its stated length is a lost attempt, not a short answer.
 """
 
 import http.client
 import select
 import socket
-from dataclasses import dataclass
-
-import msgspec
+import threading
+import time
+from contextlib import suppress
+from urllib.parse import quote
 
+from basilwall.backend.replies import RawReply, ReplyError, read_reply
+from basilwall.backend.timed_socket import TimedSocket
 from basilwall.records.attempt import (
-    Answered,
     AttemptOutcome,
     AttemptRequest,
     MayHaveRun,
     NotRun,
     OutcomeTag,
-    SearcherReply,
 )
-from basilwall.records.ids import SearcherAddress, SnapshotId
+from basilwall.records.ids import SearcherAddress
 
 #: Least time given to a socket operation, in seconds.
 LEAST_TIMEOUT = 0.001
@@ -28,36 +30,23 @@
 #: A reply above this size ends the attempt, in bytes.
 MAX_REPLY_BYTES = 16_777_216
 
-_decoder = msgspec.json.Decoder(SearcherReply)
-_TAG_BY_NAME = {tag.value: tag for tag in OutcomeTag}
-
 
 class ConnectError(Exception):
     """No connection could be made, so nothing was sent."""
 
 
-class ReplyError(Exception):
-    """The request was sent and no whole, matching reply came back."""
-
-    def __init__(self, tag: OutcomeTag, detail: str) -> None:
-        super().__init__(detail)
-        self.tag = tag
-
-
-@dataclass(frozen=True, slots=True)
-class RawReply:
-    """A reply that was read to its end."""
-
-    status: int
-    body: bytes
-
-
 class SearcherConnection:
-    """A kept-alive connection that carries one attempt at a time."""
+    """A kept-alive connection that carries one attempt at a time.
+
+    One task uses it; `abort` alone may be called from another thread.
+    """
 
     def __init__(self, address: SearcherAddress) -> None:
         self.address = address
         self._http: http.client.HTTPConnection | None = None
+        self._socket: TimedSocket | None = None
+        self._carried: AttemptRequest | None = None
+        self._lock = threading.Lock()
 
     @property
     def is_open(self) -> bool:
@@ -73,7 +62,7 @@
         Raises:
             ConnectError: If the searcher does not accept.
         """
-        if self._http is not None and not self._closed_by_searcher():
+        if self._socket is not None and not _has_input(self._socket):
             return
         self.close()
         connection = http.client.HTTPConnection(
@@ -85,8 +74,16 @@
         except OSError as error:
             connection.close()
             raise ConnectError(str(error)) from error
+        self._socket = TimedSocket(connection.sock)
+        connection.sock = self._socket
+        connection.auto_open = 0
         self._http = connection
 
+    def carry(self, request: AttemptRequest) -> None:
+        """Name the attempt that is about to be exchanged, so it can end."""
+        with self._lock:
+            self._carried = request
+
     def exchange(
         self,
         request: AttemptRequest,
@@ -103,94 +100,91 @@
             to its end and belongs to this attempt.
         """
         try:
-            return self._outcome(request, self._exchange(request, timeout))
+            self._prepare(request, timeout)
+        except (ValueError, http.client.HTTPException) as error:
+            self.close()
+            return NotRun(self.address, OutcomeTag.NOT_SENT, repr(error))
+        try:
+            raw = self._exchange(request, timeout)
+            return read_reply(self.address, request, raw)
         except ReplyError as error:
             self.close()
             return MayHaveRun(self.address, error.tag, str(error))
 
-    def abort(self) -> None:
-        """End an exchange that another thread waits in."""
-        connection = self._http
-        if connection is None or connection.sock is None:
-            return
-        try:
-            connection.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
+    def release(self) -> None:
+        """Say that the attempt has ended; it can't be aborted any more."""
+        with self._lock:
+            self._carried = None
+
+    def abort(self, request: AttemptRequest) -> None:
+        """End the exchange of an attempt that another thread waits in.
+
+        Args:
+            request: The attempt; nothing happens if the connection has moved
+                on to another one.
+        """
+        with self._lock:
+            if self._carried is request and self._socket is not None:
+                with suppress(OSError):
+                    self._socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection; the next use makes a new one."""
-        connection, self._http = self._http, None
+        with self._lock:
+            connection, self._http = self._http, None
+            self._socket = None
         if connection is not None:
             connection.close()
 
-    def _closed_by_searcher(self) -> bool:
-        sock = self._http.sock if self._http else None
-        if sock is None:
-            return True
-        poller = select.poll()
-        poller.register(sock, select.POLLIN)
-        return bool(poller.poll(0))
+    def _prepare(self, request: AttemptRequest, timeout: float) -> None:
+        """Write the head of the request, without sending it."""
+        connection = self._http
+        if connection is None:
+            raise ValueError('connection closed')
+        path = f'/v1/{request.service}/{request.instance}/{request.kind.value}'
+        connection.putrequest('POST', quote(path), skip_accept_encoding=True)
+        for name, text in _headers(request, timeout):
+            connection.putheader(name, text)
 
     def _exchange(self, request: AttemptRequest, timeout: float) -> RawReply:
-        connection = self._http
-        if connection is None or connection.sock is None:
+        connection, timed = self._http, self._socket
+        if connection is None or timed is None:
             raise ReplyError(OutcomeTag.LOST, 'connection closed')
+        bounded = max(timeout, LEAST_TIMEOUT)
+        timed.settimeout(bounded)
+        timed.deadline = time.monotonic() + bounded
         try:
-            connection.sock.settimeout(max(timeout, LEAST_TIMEOUT))
-            connection.request(
-                'POST',
-                f'/v1/{request.service}/{request.instance}'
-                f'/{request.kind.value}',
-                body=request.body,
-                headers=_headers(request, timeout),
-            )
+            connection.endheaders(request.body)
             response = connection.getresponse()
             body = response.read(MAX_REPLY_BYTES + 1)
         except TimeoutError as error:
             raise ReplyError(OutcomeTag.LATE, 'timeout') from error
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, ValueError, http.client.HTTPException) as error:
             raise ReplyError(OutcomeTag.LOST, repr(error)) from error
-        if len(body) > MAX_REPLY_BYTES:
-            raise ReplyError(OutcomeTag.LOST, 'reply too large')
+        # The library returns a short body without an error; what it still
+        # waits for stands in `length`.
+        if response.length or len(body) > MAX_REPLY_BYTES:
+            raise ReplyError(OutcomeTag.LOST, 'body cut short or too large')
         if response.will_close:
             self.close()
         return RawReply(response.status, body)
 
-    def _outcome(
-        self,
-        request: AttemptRequest,
-        raw: RawReply,
-    ) -> AttemptOutcome:
-        try:
-            reply = _decoder.decode(raw.body)
-        except msgspec.DecodeError as error:
-            raise ReplyError(OutcomeTag.LOST, str(error)) from error
-        tag = _TAG_BY_NAME.get(reply.outcome)
-        if reply.attempt_id != request.attempt_id or tag is None:
-            raise ReplyError(OutcomeTag.LOST, 'reply to another attempt')
-        if tag is OutcomeTag.ANSWERED:
-            return _answered(self.address, reply)
-        if tag is OutcomeTag.LATE:
-            return MayHaveRun(self.address, tag, 'searcher gave up')
-        return NotRun(self.address, tag, '', reply.retry_after_ms)
-
-
-def _headers(request: AttemptRequest, timeout: float) -> dict[str, str]:
-    return {
-        'Request-Id': request.request_id,
-        'Attempt-Id': request.attempt_id,
-        'Snapshot': request.snapshot,
-        'Timeout-Ms': str(int(timeout * MILLISECONDS)),
-    }
-
-
-def _answered(address: SearcherAddress, reply: SearcherReply) -> Answered:
-    return Answered(
-        address,
-        SnapshotId(reply.snapshot),
-        bytes(reply.records),
-        reply.covered,
-        reply.total,
-        reply.leaving,
+
+def _has_input(connected: socket.socket) -> bool:
+    """Return whether bytes, or the end, came after the last reply."""
+    poller = select.poll()
+    poller.register(connected, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def _headers(
+    request: AttemptRequest,
+    timeout: float,
+) -> tuple[tuple[str, str], ...]:
+    return (
+        ('Request-Id', request.request_id),
+        ('Attempt-Id', request.attempt_id),
+        ('Snapshot', request.snapshot),
+        ('Timeout-Ms', str(int(timeout * MILLISECONDS))),
+        ('Content-Length', str(len(request.body))),
     )
--- /dev/null
+++ b/basilwall/backend/connection_test.py
@@ -0,0 +1,333 @@
+"""Real sockets against a small server that damages its replies."""
+
+import contextlib
+import json
+import queue
+import socket
+import struct
+import threading
+import time
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from basilwall.backend.connection import ConnectError, SearcherConnection
+from basilwall.records.attempt import (
+    Answered,
+    AttemptRequest,
+    MayHaveRun,
+    NotRun,
+    OutcomeTag,
+    RequestKind,
+)
+
+TIMEOUT = 5.0
+RESET = struct.pack('ii', 1, 0)
+LOST = OutcomeTag.LOST
+
+
+@dataclass
+class Damage:
+    """How one reply is spoilt; `share` says how far in."""
+
+    name: str
+    share: float = 0.5
+
+
+def reply_body(attempt_id, **changes):
+    body = {
+        'outcome': 'answered',
+        'attempt_id': attempt_id,
+        'snapshot': 's1',
+        'records': [attempt_id, 'ámbar'],
+        'covered': 2,
+        'total': 2,
+    }
+    return json.dumps(body | changes, ensure_ascii=False).encode()
+
+
+def with_length(body, length=None, status=200, head=b''):
+    size = len(body) if length is None else length
+    start = b'HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n'
+    return start % (status, head, size) + body
+
+
+def chunked(body, size=7):
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    sent = b''.join(b'%x\r\n%s\r\n' % (len(part), part) for part in parts)
+    head = b'HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n'
+    return head + sent + b'0\r\n\r\n'
+
+
+def cut(sent, share):
+    return sent[: int((len(sent) - 1) * share)]
+
+
+def until_close(body):
+    return b'HTTP/1.1 200 x\r\nConnection: close\r\n\r\n' + body
+
+
+# Each takes the body for this attempt, the share and the attempt before, and
+# gives the bytes to send. The first group must be answered, the others lost.
+WHOLE = {
+    'whole': lambda body, share, former: with_length(body),
+    'continued': lambda body, share, former: (
+        b'HTTP/1.1 100 x\r\n\r\n' + with_length(body)
+    ),
+    'chunked': lambda body, share, former: chunked(body),
+    'doubled': lambda body, share, former: with_length(body) * 2,
+    'close-delimited': lambda body, share, former: until_close(body),
+}
+SPOILT = {
+    'cut': lambda body, share, former: cut(with_length(body), share),
+    'reset': lambda body, share, former: cut(with_length(body), share),
+    'chunked-cut': lambda body, share, former: cut(chunked(body), share),
+    'close-cut': lambda body, share, former: cut(until_close(body), share),
+    'length-more': lambda body, share, former: with_length(
+        body,
+        len(body) + 1 + int(9 * share),
+    ),
+    'length-less': lambda body, share, former: with_length(
+        body,
+        int(len(body) * share),
+    ),
+    'swapped': lambda body, share, former: with_length(reply_body(former)),
+    'failed-status': lambda body, share, former: with_length(body, status=503),
+    'early-hints': lambda body, share, former: (
+        b'HTTP/1.1 103 x\r\n\r\n' + with_length(body)
+    ),
+    'huge-header': lambda body, share, former: with_length(
+        body,
+        head=b'X: %s\r\n' % (b'x' * 70_000),
+    ),
+    'many-headers': lambda body, share, former: with_length(
+        body,
+        head=b'X: y\r\n' * 120,
+    ),
+    'no-array': lambda body, share, former: with_length(
+        body.replace(b'[', b'{"a":').replace(b', "\xc3', b',"b":"\xc3')[:-1]
+        + b'}',
+    ),
+    'no-utf8': lambda body, share, former: with_length(
+        body.replace(b'\xc3\xa1', b'\xff'),
+    ),
+    'negative': lambda body, share, former: with_length(
+        body.replace(b'2}', b'-2}'),
+    ),
+    'claims-lost': lambda body, share, former: with_length(
+        body.replace(b'answered', b'lost'),
+        status=503,
+    ),
+    'claims-not-sent': lambda body, share, former: with_length(
+        body.replace(b'answered', b'not_sent'),
+        status=503,
+    ),
+    'shed-as-success': lambda body, share, former: with_length(
+        body.replace(b'answered', b'shed'),
+    ),
+}
+KEPT_OPEN = {'whole', 'continued', 'chunked', 'doubled', 'swapped'}
+
+
+def address_of(listener):
+    return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+class Server:
+    """Answers each request with the next damage in line."""
+
+    def __init__(self):
+        self.damages = queue.SimpleQueue()
+        self.former = 'nobody'
+        self.reached = threading.Event()
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = address_of(self._listener)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            accepted, _ = self._listener.accept()
+            threading.Thread(
+                target=self._serve,
+                args=(accepted,),
+                daemon=True,
+            ).start()
+
+    def _serve(self, accepted):
+        with accepted, accepted.makefile('rb') as stream:
+            while True:
+                attempt_id = self._read(stream)
+                if attempt_id is None:
+                    return
+                self.reached.set()
+                damage = self.damages.get()
+                if not self._reply(accepted, damage, attempt_id):
+                    return
+
+    def _read(self, stream):
+        lines = list(iter(stream.readline, b'\r\n'))
+        if not lines or b'' in lines:
+            return None
+        by_name = dict(line.strip().split(b': ', 1) for line in lines[1:])
+        stream.read(int(by_name[b'Content-Length']))
+        return by_name[b'Attempt-Id'].decode()
+
+    def _reply(self, accepted, damage, attempt_id):
+        make = (WHOLE | SPOILT).get(damage.name)
+        if make is None:
+            return damage.name(accepted, attempt_id)
+        sent = make(reply_body(attempt_id), damage.share, self.former)
+        self.former = attempt_id
+        accepted.sendall(sent)
+        if damage.name == 'reset':
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        return damage.name in KEPT_OPEN
+
+
+@pytest.fixture(scope='module')
+def server():
+    return Server()
+
+
+def request_of(attempt_id):
+    return AttemptRequest(
+        service='depot-desk',
+        instance='depot-desk-0',
+        kind=RequestKind.IDEMPOTENT,
+        request_id='the-same-for-all',
+        attempt_id=attempt_id,
+        snapshot='s1',
+        body=b'{}',
+        deadline=0,
+    )
+
+
+damages = st.builds(
+    Damage,
+    st.sampled_from(sorted(WHOLE | SPOILT)),
+    st.floats(0, 0.99),
+)
+
+
+@settings(deadline=None)
+@given(st.lists(damages, min_size=1, max_size=8))
+def test_an_attempt_gets_its_own_whole_reply_or_none(server, drawn):
+    connection = SearcherConnection(server.address)
+    before = ''
+    for number, damage in enumerate(drawn):
+        server.damages.put(damage)
+        connection.open(TIMEOUT)
+        request = request_of(f'{time.monotonic_ns()}.{number}')
+        outcome = connection.exchange(request, TIMEOUT)
+        if isinstance(outcome, Answered):
+            records = json.loads(outcome.records)
+            assert records == [request.attempt_id, 'ámbar'], damage
+            assert damage.name in WHOLE
+            assert (outcome.covered, outcome.total) == (2, 2)
+        elif damage.name in WHOLE:
+            assert before == 'doubled', (before, damage, outcome)
+        else:
+            assert isinstance(outcome, MayHaveRun), damage
+            assert outcome.tag is LOST, (damage, outcome)
+            assert not connection.is_open
+        before = damage.name
+    connection.close()
+
+
+@pytest.mark.parametrize('tag', ['shed', 'leaving', 'wrong_snapshot'])
+def test_only_the_searchers_own_word_says_not_run(server, tag):
+    connection = SearcherConnection(server.address)
+    connection.open(TIMEOUT)
+
+    def refuse(accepted, attempt_id):
+        body = reply_body(attempt_id, outcome=tag, serves=['s2'])
+        accepted.sendall(with_length(body, status=503))
+
+    server.damages.put(Damage(refuse))
+    outcome = connection.exchange(request_of('a'), TIMEOUT)
+    assert isinstance(outcome, NotRun)
+    assert (outcome.tag.value, outcome.serves) == (tag, ('s2',))
+
+
+def test_a_late_second_reply_never_reaches_the_next_attempt(server):
+    connection = SearcherConnection(server.address)
+    connection.open(TIMEOUT)
+
+    def again_before_the_next(accepted, attempt_id):
+        accepted.sendall(
+            with_length(reply_body('former')) + with_length(reply_body('b')),
+        )
+        return True
+
+    server.damages.put(Damage('whole'))
+    assert isinstance(connection.exchange(request_of('a'), TIMEOUT), Answered)
+    server.damages.put(Damage(again_before_the_next))
+    outcome = connection.exchange(request_of('b'), TIMEOUT)
+    assert isinstance(outcome, MayHaveRun)
+    assert not connection.is_open
+
+
+def test_a_reply_in_single_bytes_ends_at_the_deadline(server):
+    connection = SearcherConnection(server.address)
+    connection.open(TIMEOUT)
+
+    def trickle(accepted, attempt_id):
+        for byte in with_length(reply_body(attempt_id)):
+            with contextlib.suppress(OSError):
+                accepted.sendall(bytes([byte]))
+            time.sleep(0.02)
+
+    server.damages.put(Damage(trickle))
+    started = time.monotonic()
+    outcome = connection.exchange(request_of('a'), 0.1)
+    assert time.monotonic() - started < 1
+    assert (type(outcome), outcome.tag) == (MayHaveRun, OutcomeTag.LATE)
+
+
+def test_an_abort_spares_the_attempt_that_follows(server):
+    connection = SearcherConnection(server.address)
+    connection.open(TIMEOUT)
+    first, second = request_of('first'), request_of('second')
+    connection.carry(first)
+    server.damages.put(Damage('whole'))
+    assert isinstance(connection.exchange(first, TIMEOUT), Answered)
+    connection.release()
+    connection.carry(second)
+    connection.abort(first)
+    server.damages.put(Damage('whole'))
+    assert isinstance(connection.exchange(second, TIMEOUT), Answered)
+
+
+def test_an_abort_ends_the_wait_of_its_own_attempt(server):
+    connection = SearcherConnection(server.address)
+    connection.open(TIMEOUT)
+    request = request_of('a')
+    connection.carry(request)
+    server.reached.clear()
+    aborter = threading.Thread(
+        target=lambda: (server.reached.wait(), connection.abort(request)),
+    )
+    aborter.start()
+    started = time.monotonic()
+    outcome = connection.exchange(request, TIMEOUT)
+    aborter.join()
+    server.damages.put(Damage('cut'))
+    assert time.monotonic() - started < TIMEOUT / 2
+    assert outcome.tag is LOST
+
+
+def test_what_cannot_be_written_as_a_header_is_not_sent(server):
+    connection = SearcherConnection(server.address)
+    connection.open(TIMEOUT)
+    outcome = connection.exchange(request_of('срез'), TIMEOUT)
+    assert isinstance(outcome, NotRun)
+    assert outcome.tag is OutcomeTag.NOT_SENT
+
+
+def test_a_refused_connection_sent_nothing():
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = address_of(listener)
+    with pytest.raises(ConnectError):
+        SearcherConnection(address).open(1)
--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -57,7 +57,7 @@
         self.cancelled = True
         connection = self.connection
         if connection is not None:
-            connection.abort()
+            connection.abort(self.request)
 
 
 class SearcherPool:
@@ -110,8 +110,8 @@
         """End the tasks once the queued attempts are through."""
         with self._lock:
             self._closed = True
-        for _ in range(self.connections):
-            self._jobs.put(None)
+            for _ in range(self.connections):
+                self._jobs.put(None)
 
     def _serve(self) -> None:
         connection = SearcherConnection(self.address)
@@ -145,18 +145,28 @@
             self._note_unreachable()
             return NotRun(self.address, OutcomeTag.NOT_SENT, str(error))
         job.sent_at = self._clock.monotonic()
-        job.connection = connection
-        if job.cancelled or not job.may_send():
-            job.connection = None
-            return NotRun(self.address, OutcomeTag.NOT_SENT, 'held back')
-        outcome = connection.exchange(
-            job.request,
-            job.request.deadline - job.sent_at,
-        )
-        job.connection = None
+        outcome = self._send(connection, job)
         self._note_latency(job, outcome)
         return outcome
 
+    def _send(
+        self,
+        connection: SearcherConnection,
+        job: AttemptJob,
+    ) -> AttemptOutcome:
+        connection.carry(job.request)
+        job.connection = connection
+        try:
+            if job.cancelled or not job.may_send():
+                return NotRun(self.address, OutcomeTag.NOT_SENT, 'held back')
+            return connection.exchange(
+                job.request,
+                job.request.deadline - job.sent_at,
+            )
+        finally:
+            connection.release()
+            job.connection = None
+
     def _note_latency(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
         if job.cancelled:
             return
--- a/basilwall/records/attempt.py
+++ b/basilwall/records/attempt.py
@@ -58,7 +58,8 @@
     """The searcher ran the request and its reply was read to its end.
 
     `records` is the searcher's JSON array, `covered` of `total` the records
-    that it looked at.
+    that it looked at. `serves` names the snapshots that the searcher holds;
+    it is empty if the searcher does not say.
     """
 
     searcher: SearcherAddress
@@ -67,6 +68,7 @@
     covered: int
     total: int
     leaving: bool = False
+    serves: tuple[SnapshotId, ...] = ()
     tag: OutcomeTag = OutcomeTag.ANSWERED
 
 
@@ -81,6 +83,7 @@
     tag: OutcomeTag
     detail: str = ''
     retry_after_ms: int = 0
+    serves: tuple[SnapshotId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,16 +101,17 @@
 class SearcherReply(msgspec.Struct):
     """The JSON body of a searcher's reply, as it travels.
 
-    Errors: `outcome` names any tag but `not_sent` and `lost`; all but
-    `answered` and `late` mean that the request did not run.
+    `outcome` names any tag but `not_sent` and `lost`; all but `answered` and
+    `late` mean that the request did not run. `snapshot` is the one that the
+    records were taken from, whichever was asked for.
     """
 
     outcome: str
     attempt_id: str
-    snapshot: str = ''
+    snapshot: SnapshotId = SnapshotId('')
     records: msgspec.Raw = msgspec.Raw(b'[]')
     covered: int = 0
     total: int = 0
     leaving: bool = False
     retry_after_ms: int = 0
-    serves: tuple[str, ...] = ()
+    serves: tuple[SnapshotId, ...] = ()
--- a/basilwall/standin/searcher.py
+++ b/basilwall/standin/searcher.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from basilwall.records.attempt import SearcherReply
+from basilwall.records.ids import SnapshotId
 from basilwall.standin.http_server import (
     StandInHandler,
     StandInServer,
@@ -41,7 +42,9 @@
 class Switches(msgspec.Struct, kw_only=True):
     """How a stand-in behaves; times are in milliseconds."""
 
-    snapshots: list[str] = msgspec.field(default_factory=lambda: ['s1'])
+    snapshots: list[SnapshotId] = msgspec.field(
+        default_factory=lambda: [SnapshotId('s1')],
+    )
     slots: int = 2
     connections: int = 25
     connect_ms: float = 0
@@ -269,7 +272,9 @@
             SearcherReply(
                 outcome=outcome,
                 attempt_id=self.headers.get('Attempt-Id') or '',
-                snapshot=switches.claims or self.headers.get('Snapshot') or '',
+                snapshot=SnapshotId(
+                    switches.claims or self.headers.get('Snapshot') or '',
+                ),
                 records=msgspec.Raw(records),
                 covered=int(RECORDS * switches.covered_share),
                 total=RECORDS,
