--- a/basilwall/standin/demo.py
+++ b/basilwall/standin/demo.py
@@ -1,6 +1,7 @@
 """The demo: one VM and its stand-ins in one process, with real requests."""
 
 import http.client
+import random
 import socket
 import tempfile
 from collections.abc import Callable, Iterator
@@ -38,7 +39,10 @@
 
 def free_ports(count: int) -> int:
     """Return the first of `count` neighbouring ports that are free now."""
-    for first in range(FIRST_PORT, LAST_PORT, count):
+    starts = list(range(FIRST_PORT, LAST_PORT, count))
+    # Whoever else looks for ports now should look elsewhere.
+    random.Random().shuffle(starts)
+    for first in starts:
         if all(_is_free(first + offset) for offset in range(count)):
             return first
     raise OSError('no free ports')
