Lose no outcome at a planned stop, and deny none

Read critically, the first code said false things or lost outcomes in these ways.

- A wall clock that steps on and back let a forgotten ticket be claimed twice: the table keeps the latest expiry that it forgot.
- A peer called a ticket "not run" that had run and that its owner had forgotten before it stopped: the handover carries the same mark.
- A late or duplicate handover undid a final outcome: handovers are joined.
- Copies of one ticket were given different replacements, so a caller with two copies on their way could run both: the replacement of a stopped VM's ticket is worked out from the ticket and the successor that the handover names, and a burnt ticket's replacement travels with its outcome.
- A signed ticket of another version, and a reason of a newer peer, raised. + The handover took a running order as unknown for good and ended the server 5 s later: it waits for the orders begun within the limit of the stop. + One lost call lost the handover; a large one didn't fit a message: calls are made again, messages are bounded, and a peer that holds only a part of the outcomes proves nothing of absent ones. + After a rolling restart nobody held the first VM's outcomes: a stopping VM passes on those that were left with it, and a VM that knows nothing of an owner that is gone asks its peers. + The content that comes with a ticket is compared for handed outcomes too.

Ruled out: a replacement minted by whichever VM answers (differs by VM), and none at all (a plain client would have to know of tickets).

--- a/basilwall/order/desk.py
+++ b/basilwall/order/desk.py
@@ -5,15 +5,18 @@
 asked, the outcome is what it left behind, or UNKNOWN.
 """
 
+import random
 from abc import ABC, abstractmethod
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass, replace
 
+from basilwall.order.advice import advised
 from basilwall.order.dispatch import Order, OrderDispatcher
 from basilwall.parts.clock import Clock
 from basilwall.parts.fingerprints import fingerprint
 from basilwall.parts.handovers import Handovers
-from basilwall.parts.tickets import TicketMint, TicketRecord, TicketTable
+from basilwall.parts.ticket_mint import TicketMint
+from basilwall.parts.tickets import TicketRecord, TicketTable
 from basilwall.records.ids import Fingerprint, RequestId, ServiceName
 from basilwall.records.order import (
     OrderOutcome,
@@ -23,7 +26,11 @@
 )
 
 KIND = 'order'
-RETRY_AFTER_MS = 500
+BAD_TICKET = OrderOutcome(OrderState.REJECTED, OrderReason.BAD_TICKET)
+UNREACHABLE = OrderOutcome(
+    OrderState.UNKNOWN,
+    OrderReason.OWNER_UNREACHABLE,
+)
 _HEX = 16
 
 
@@ -57,6 +64,17 @@
             The owner's outcome, or None if the owner gave none.
         """
 
+    @abstractmethod
+    def ask(self, request: OrderRequest) -> OrderOutcome | None:
+        """Ask other VMs what a stopped owner left with them.
+
+        Args:
+            request: The order.
+
+        Returns:
+            What is known for certain, or None if nobody knows.
+        """
+
 
 class OrderDesk:
     """Decides for each order who may run it, and says what became of it."""
@@ -69,6 +87,7 @@
         forwarder: OrderForwarder,
         handovers: Handovers,
         clock: Clock,
+        source: random.Random,
     ) -> None:
         self.mint = mint
         self.table = table
@@ -76,6 +95,7 @@
         self._forwarder = forwarder
         self._handovers = handovers
         self._clock = clock
+        self._source = source
 
     def take(self, request: OrderRequest) -> OrderOutcome:
         """Take an order from a caller of this VM.
@@ -93,12 +113,40 @@
                 OrderReason.NO_TICKET,
                 replacement=self.mint.issue(request.service),
             )
-        ticket = self.mint.read(request.ticket)
-        if ticket is None or ticket.service != request.service:
-            return OrderOutcome(OrderState.REJECTED, OrderReason.BAD_TICKET)
+        ticket = self._read(request)
+        if ticket is None:
+            return BAD_TICKET
         if ticket.incarnation == self.mint.incarnation:
-            return self._own(request, ticket)
-        return self._others(request, ticket)
+            outcome = self._own(request, ticket)
+        else:
+            outcome = self._others(request, ticket)
+        return advised(outcome, self._source)
+
+    def refuse(
+        self,
+        request: OrderRequest,
+        reason: OrderReason,
+    ) -> OrderOutcome:
+        """Refuse an order of a caller at once, before it is begun.
+
+        Args:
+            request: The order, with or without a ticket.
+            reason: Why it is refused.
+
+        Returns:
+            The outcome. Only the owner of a ticket can burn it, so that of
+            another VM's ticket is UNKNOWN.
+        """
+        if not request.ticket:
+            outcome = OrderOutcome(OrderState.NOT_RUN, reason)
+            return advised(outcome, self._source)
+        ticket = self._read(request)
+        if ticket is None:
+            return BAD_TICKET
+        outcome = OrderOutcome(OrderState.UNKNOWN, reason)
+        if ticket.incarnation == self.mint.incarnation:
+            outcome = self._burn(request, ticket, reason)
+        return advised(outcome, self._source)
 
     def take_forwarded(self, request: OrderRequest) -> OrderOutcome:
         """Take an order that another VM passed on.
@@ -109,15 +157,36 @@
         Returns:
             The outcome; UNKNOWN if the ticket is not this incarnation's.
         """
-        ticket = self.mint.read(request.ticket)
-        if ticket is None or ticket.service != request.service:
-            return OrderOutcome(OrderState.REJECTED, OrderReason.BAD_TICKET)
+        ticket = self._read(request)
+        if ticket is None:
+            return BAD_TICKET
         if ticket.incarnation == self.mint.incarnation:
             return self._own(request, ticket)
-        return self._handovers.outcome_of(ticket)
+        return self._left_behind(request, ticket)
+
+    def _read(self, request: OrderRequest) -> Ticket | None:
+        ticket = self.mint.read(request.ticket)
+        if ticket is None or ticket.service != request.service:
+            return None
+        return ticket
+
+    def _burn(
+        self,
+        request: OrderRequest,
+        ticket: Ticket,
+        reason: OrderReason,
+    ) -> OrderOutcome:
+        claim = self.table.claim(ticket, _mark(request))
+        if claim.record is None:
+            return claim.refused or OrderOutcome(OrderState.UNKNOWN, reason)
+        if claim.first:
+            outcome = OrderOutcome(OrderState.NOT_RUN, reason)
+            burnt = self._with_replacement(outcome, ticket)
+            self.table.finish(claim.record, burnt)
+        return self._wait(0, claim.record)
 
     def _own(self, request: OrderRequest, ticket: Ticket) -> OrderOutcome:
-        mark = fingerprint(request.service, KIND, request.body)
+        mark = _mark(request)
         claim = self.table.claim(ticket, mark)
         if claim.refused is not None:
             return claim.refused
@@ -126,7 +195,8 @@
             return OrderOutcome(OrderState.UNKNOWN, OrderReason.OVERLOADED)
         if claim.first:
             self._run(request, ticket, record, mark)
-        return self._wait(request, record)
+        left = request.deadline - self._clock.monotonic()
+        return self._wait(max(left, 0), record)
 
     def _run(
         self,
@@ -162,36 +232,54 @@
             replacement=self.mint.issue(ticket.service),
         )
 
-    def _wait(
-        self,
-        request: OrderRequest,
-        record: TicketRecord,
-    ) -> OrderOutcome:
-        left = request.deadline - self._clock.monotonic()
+    def _wait(self, timeout: float, record: TicketRecord) -> OrderOutcome:
         try:
-            return record.future.result(timeout=max(left, 0))
+            return record.future.result(timeout)
         except FutureTimeoutError:
-            return OrderOutcome(
-                OrderState.UNKNOWN,
-                OrderReason.STILL_RUNNING,
-                retry_after_ms=RETRY_AFTER_MS,
-            )
+            return OrderOutcome(OrderState.UNKNOWN, OrderReason.STILL_RUNNING)
 
     def _others(self, request: OrderRequest, ticket: Ticket) -> OrderOutcome:
-        outcome = None
+        told = None
         if ticket.owner != self.mint.owner:
-            outcome = self._forwarder.forward(request, ticket)
-        if outcome is None or outcome.state is OrderState.UNKNOWN:
-            outcome = self._better(outcome, self._handovers.outcome_of(ticket))
-        if outcome.state is OrderState.NOT_RUN and not outcome.replacement:
-            return self._with_replacement(outcome, ticket)
-        return outcome
-
-    def _better(
+            told = self._forwarder.forward(request, ticket)
+            if told is not None and told.state is not OrderState.UNKNOWN:
+                return told
+        left_behind = self._left_behind(request, ticket)
+        if left_behind.state is not OrderState.UNKNOWN:
+            return left_behind
+        heard = self._heard(request, told)
+        if heard is not None:
+            return heard
+        if told is None and ticket.owner != self.mint.owner:
+            return UNREACHABLE
+        return told or left_behind
+
+    def _heard(
         self,
+        request: OrderRequest,
         told: OrderOutcome | None,
-        left_behind: OrderOutcome,
+    ) -> OrderOutcome | None:
+        if told is not None and told.reason is not OrderReason.OWNER_RESTARTED:
+            return None
+        return self._forwarder.ask(request)
+
+    def _left_behind(
+        self,
+        request: OrderRequest,
+        ticket: Ticket,
     ) -> OrderOutcome:
-        if told is None or left_behind.state is not OrderState.UNKNOWN:
-            return left_behind
-        return told
+        outcome = self._handovers.outcome_of(ticket, _mark(request))
+        successor = self._handovers.successor_of(ticket)
+        never_began = outcome.reason is OrderReason.STOPPED
+        if successor is None or not never_began:
+            return outcome
+        replacement = self.mint.renew(
+            ticket,
+            successor.owner,
+            successor.incarnation,
+        )
+        return replace(outcome, replacement=replacement)
+
+
+def _mark(request: OrderRequest) -> Fingerprint:
+    return fingerprint(request.service, KIND, request.body)
--- /dev/null
+++ b/basilwall/order/desk_test.py
@@ -0,0 +1,214 @@
+"""Tests of the desk on one VM, with a forwarder and a dispatcher that fake."""
+
+import random
+
+import pytest
+
+from basilwall.order.advice import LEAST_SHARE, MOST_SHARE, advised
+from basilwall.order.desk import (
+    KIND,
+    OrderDesk,
+    OrderForwarder,
+    OrderRequest,
+)
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.fingerprints import fingerprint
+from basilwall.parts.handovers import Handover, Handovers
+from basilwall.parts.ticket_mint import TicketMint
+from basilwall.parts.tickets import TicketTable
+from basilwall.records.order import (
+    OrderOutcome,
+    OrderReason,
+    OrderState,
+    Successor,
+)
+
+RAN = OrderOutcome(OrderState.RAN, OrderReason.ANSWERED, b'[1]')
+SHED = OrderOutcome(OrderState.NOT_RUN, OrderReason.OVERLOADED)
+RESTARTED = OrderOutcome(OrderState.UNKNOWN, OrderReason.OWNER_RESTARTED)
+RUNNING = OrderOutcome(OrderState.UNKNOWN, OrderReason.STILL_RUNNING)
+KEY = b'k' * 16
+
+
+class FakeForwarder(OrderForwarder):
+    """Owners and peers that say what they are told to."""
+
+    def __init__(self):
+        self.told = None
+        self.heard = None
+        self.asked = 0
+
+    def forward(self, request, ticket):
+        return self.told
+
+    def ask(self, request):
+        self.asked += 1
+        return self.heard
+
+
+class FakeDispatcher:
+    """Counts runs."""
+
+    def __init__(self):
+        self.outcome = RAN
+        self.orders = []
+
+    def dispatch(self, order):
+        self.orders.append(order)
+        if self.outcome is None:
+            raise RuntimeError
+        return self.outcome
+
+
+class Vm:
+    """A desk and what stands behind it."""
+
+    def __init__(self, address='a:1', incarnation='i1'):
+        self.clock = ManualClock()
+        self.mint = TicketMint(address, incarnation, KEY, self.clock, 60)
+        self.handovers = Handovers(self.clock)
+        self.forwarder = FakeForwarder()
+        self.dispatcher = FakeDispatcher()
+        self.desk = OrderDesk(
+            self.mint,
+            TicketTable(self.mint, self.clock),
+            self.dispatcher,
+            self.forwarder,
+            self.handovers,
+            self.clock,
+            random.Random(1),
+        )
+
+    def order(self, ticket, body=b'{}', service='desk'):
+        deadline = self.clock.monotonic() + 2
+        return OrderRequest('r', service, ticket, body, deadline)
+
+    def take(self, ticket, **changes):
+        return self.desk.take(self.order(ticket, **changes))
+
+    def keep(self, incarnation):
+        self.handovers.keep(
+            Handover(
+                'a:1',
+                incarnation,
+                {},
+                0,
+                0,
+                Successor('c:1', 'i3'),
+                self.clock.monotonic() + 60,
+            ),
+        )
+
+
+@pytest.fixture
+def vm():
+    return Vm()
+
+
+def test_no_ticket_no_run(vm):
+    outcome = vm.take('')
+    assert outcome.state is OrderState.NOT_RUN
+    assert vm.take(outcome.replacement) == RAN
+    assert vm.take(outcome.replacement) == RAN
+    assert len(vm.dispatcher.orders) == 1
+
+
+def test_what_is_not_a_ticket_for_this_service_is_rejected(vm):
+    ticket = vm.mint.issue('desk')
+    assert vm.take('forged').state is OrderState.REJECTED
+    assert vm.take(ticket, service='other').state is OrderState.REJECTED
+    assert vm.take(ticket) == RAN
+    other = vm.take(ticket, body=b'{"kilos": 2}')
+    assert other.reason is OrderReason.OTHER_CONTENT
+
+
+def test_a_failed_dispatch_is_unknown_for_good(vm):
+    ticket = vm.mint.issue('desk')
+    vm.dispatcher.outcome = None
+    with pytest.raises(RuntimeError):
+        vm.take(ticket)
+    vm.dispatcher.outcome = RAN
+    assert vm.take(ticket).state is OrderState.UNKNOWN
+    assert len(vm.dispatcher.orders) == 1
+
+
+def test_a_refusal_by_the_owner_burns_the_ticket(vm):
+    ticket = vm.mint.issue('desk')
+    refused = vm.desk.refuse(vm.order(ticket), OrderReason.OVERLOADED)
+    assert refused.state is OrderState.NOT_RUN
+    later = vm.take(ticket)
+    assert later.state is OrderState.NOT_RUN
+    assert later.replacement == refused.replacement
+    assert vm.dispatcher.orders == []
+    assert vm.take(refused.replacement) == RAN
+
+
+def test_a_refusal_keeps_what_is_known(vm):
+    ticket = vm.mint.issue('desk')
+    vm.take(ticket)
+    refuse = vm.desk.refuse
+    assert refuse(vm.order(ticket), OrderReason.OVERLOADED) == RAN
+    begun = vm.mint.issue('desk')
+    mark = fingerprint('desk', KIND, b'{}')
+    vm.desk.table.claim(vm.mint.read(begun), mark)
+    running = refuse(vm.order(begun), OrderReason.OVERLOADED)
+    assert running.reason is OrderReason.STILL_RUNNING
+    assert running.retry_after_ms
+
+
+def test_a_refusal_elsewhere_is_unknown(vm):
+    ticket = Vm('b:1', 'i2').mint.issue('desk')
+    refused = vm.desk.refuse(vm.order(ticket), OrderReason.OVERLOADED)
+    assert refused.state is OrderState.UNKNOWN
+    assert refused.retry_after_ms
+
+
+@pytest.mark.parametrize(
+    ('told', 'handed', 'heard', 'state', 'asked'),
+    [
+        (RAN, False, None, OrderState.RAN, 0),
+        (SHED, True, RAN, OrderState.NOT_RUN, 0),
+        (None, False, None, OrderState.UNKNOWN, 1),
+        (None, False, RAN, OrderState.RAN, 1),
+        (None, True, RAN, OrderState.NOT_RUN, 0),
+        (RESTARTED, False, RAN, OrderState.RAN, 1),
+        (RUNNING, False, RAN, OrderState.UNKNOWN, 0),
+    ],
+)
+def test_an_order_of_another_owner(told, handed, heard, state, asked):
+    vm, owner = Vm('b:1', 'i2'), Vm()
+    vm.forwarder.told, vm.forwarder.heard = told, heard
+    if handed:
+        vm.keep('i1')
+    outcome = vm.take(owner.mint.issue('desk'))
+    assert outcome.state is state
+    assert vm.forwarder.asked == asked
+    assert vm.dispatcher.orders == []
+
+
+def test_an_earlier_incarnation_is_never_run_for():
+    owner, again = Vm(), Vm('a:1', 'i9')
+    ticket = owner.mint.issue('desk')
+    assert again.take(ticket).reason is OrderReason.OWNER_RESTARTED
+    forwarded = again.desk.take_forwarded(again.order(ticket))
+    assert forwarded.state is OrderState.UNKNOWN
+    assert again.dispatcher.orders == []
+
+
+def test_all_vms_name_one_replacement_for_a_stopped_ticket():
+    ticket = Vm().mint.issue('desk')
+    told = set()
+    for vm in (Vm('b:1', 'i2'), Vm('c:1', 'i3')):
+        vm.keep('i1')
+        told |= {vm.take(ticket).replacement for _ in range(2)}
+    assert len(told) == 1
+    assert Vm('c:1', 'i3').take(told.pop()) == RAN
+
+
+def test_unknown_and_not_run_say_when_to_come_back_and_spread():
+    source = random.Random(1)
+    drawn = {advised(RUNNING, source).retry_after_ms for _ in range(99)}
+    assert len(drawn) > 50
+    assert min(drawn) >= 500 * LEAST_SHARE
+    assert max(drawn) <= 500 * MOST_SHARE
+    assert advised(RAN, source) == RAN
--- a/basilwall/parts/tickets.py
+++ b/basilwall/parts/tickets.py
@@ -9,109 +9,27 @@
 request are still on their way.
 """
 
-import base64
-import hashlib
-import hmac
-import itertools
 import threading
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-import msgspec
-
 from basilwall.parts.clock import Clock
-from basilwall.records.ids import Incarnation, ServiceName, VmAddress
+from basilwall.parts.ticket_mint import TicketMint
 from basilwall.records.order import (
     OrderOutcome,
     OrderReason,
     OrderState,
+    Successor,
     Ticket,
 )
 
-SIGNATURE_BYTES = 16
 #: Outcomes are kept this long after their ticket expired, in seconds.
 KEEP_AFTER_EXPIRY = 60.0
 #: Records in the table; beyond it no new order begins.
 MAX_RECORDS = 50_000
 
 
-class _Wire(msgspec.Struct, array_like=True):
-    service: str
-    owner: str
-    incarnation: str
-    number: str
-    expires_ms: int
-
-
-_encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(_Wire)
-_MILLISECONDS = 1000
-
-
-class TicketMint:
-    """Issues tickets for this incarnation and reads those of all VMs."""
-
-    def __init__(
-        self,
-        owner: VmAddress,
-        incarnation: Incarnation,
-        key: bytes,
-        clock: Clock,
-        lifetime: float,
-    ) -> None:
-        self.owner = owner
-        self.incarnation = incarnation
-        self.lifetime = lifetime
-        self._key = key
-        self._clock = clock
-        self._numbers = itertools.count(1)
-
-    def issue(self, service: ServiceName) -> str:
-        """Return a new ticket for one order to `service`."""
-        expires = self._clock.wall() + self.lifetime
-        body = _encoder.encode(
-            _Wire(
-                service=service,
-                owner=self.owner,
-                incarnation=self.incarnation,
-                number=str(next(self._numbers)),
-                expires_ms=int(expires * _MILLISECONDS),
-            ),
-        )
-        signed = self._sign(body) + body
-        return base64.urlsafe_b64encode(signed).decode('ascii')
-
-    def read(self, text: str) -> Ticket | None:
-        """Return the ticket that `text` stands for, or None if it is forged.
-
-        Args:
-            text: What a caller sent as its ticket.
-
-        Returns:
-            The ticket, which may be expired or another VM's.
-        """
-        try:
-            signed = base64.urlsafe_b64decode(text.encode('ascii'))
-        except ValueError:
-            return None
-        signature, body = signed[:SIGNATURE_BYTES], signed[SIGNATURE_BYTES:]
-        if not hmac.compare_digest(signature, self._sign(body)):
-            return None
-        wire = _decoder.decode(body)
-        return Ticket(
-            service=ServiceName(wire.service),
-            owner=VmAddress(wire.owner),
-            incarnation=Incarnation(wire.incarnation),
-            number=wire.number,
-            expires_at=wire.expires_ms / _MILLISECONDS,
-        )
-
-    def _sign(self, body: bytes) -> bytes:
-        digest = hmac.new(self._key, body, hashlib.sha256).digest()
-        return digest[:SIGNATURE_BYTES]
-
-
 @dataclass(slots=True)
 class TicketRecord:
     """One order that was begun: its content and, once known, its outcome."""
@@ -143,6 +61,10 @@
         self._max_records = max_records
         self._by_number: dict[str, TicketRecord] = {}
         self._closed = False
+        self._successor: Successor | None = None
+        #: Of a ticket that expires no later nothing is known any more, also
+        #: if the wall clock was set back since.
+        self.forgotten_until: float = 0
         self._lock = threading.Lock()
 
     def claim(self, ticket: Ticket, fingerprint: str) -> Claim:
@@ -164,9 +86,10 @@
                 return _claim_again(record, fingerprint)
             record = TicketRecord(ticket, fingerprint)
             refusal = self._refusal(ticket, now)
-            if refusal is not None and refusal.state is OrderState.UNKNOWN:
-                return Claim(None, first=False, refused=refusal)
             if refusal is not None:
+                return Claim(None, first=False, refused=refusal)
+            if now > ticket.expires_at:
+                refusal = self._burnt(ticket, OrderReason.EXPIRED)
                 record.future.set_result(refusal)
             self._by_number[ticket.number] = record
             return Claim(record, first=refusal is None)
@@ -175,13 +98,18 @@
         """End a record that `claim` handed out as the first."""
         record.future.set_result(outcome)
 
-    def close(self) -> list[TicketRecord]:
+    def close(self, successor: Successor | None) -> list[TicketRecord]:
         """Begin no further order and return the records held.
 
+        Args:
+            successor: Who owns the tickets that take the place of those
+                which did not run, if anybody does.
+
         Returns:
             The records, those still running among them.
         """
         with self._lock:
+            self._successor = successor
             self._closed = True
             return list(self._by_number.values())
 
@@ -190,16 +118,30 @@
         return len(self._by_number)
 
     def _refusal(self, ticket: Ticket, now: float) -> OrderOutcome | None:
-        if now > ticket.expires_at + KEEP_AFTER_EXPIRY:
+        forgotten = ticket.expires_at <= self.forgotten_until
+        if forgotten or now > ticket.expires_at + KEEP_AFTER_EXPIRY:
             return OrderOutcome(OrderState.UNKNOWN, OrderReason.EXPIRED)
-        if now > ticket.expires_at:
-            return self._burnt(ticket, OrderReason.EXPIRED)
         if self._closed:
-            return OrderOutcome(OrderState.NOT_RUN, OrderReason.STOPPED)
+            return self._stopped(ticket)
         if len(self._by_number) >= self._max_records:
             return OrderOutcome(OrderState.UNKNOWN, OrderReason.OVERLOADED)
         return None
 
+    def _stopped(self, ticket: Ticket) -> OrderOutcome:
+        successor = self._successor
+        replacement = ''
+        if successor is not None:
+            replacement = self._mint.renew(
+                ticket,
+                successor.owner,
+                successor.incarnation,
+            )
+        return OrderOutcome(
+            OrderState.NOT_RUN,
+            OrderReason.STOPPED,
+            replacement=replacement,
+        )
+
     def _burnt(self, ticket: Ticket, reason: OrderReason) -> OrderOutcome:
         return OrderOutcome(
             OrderState.NOT_RUN,
@@ -214,6 +156,10 @@
             if record.ticket.expires_at > limit or not record.future.done():
                 return
             self._by_number.pop(number)
+            self.forgotten_until = max(
+                self.forgotten_until,
+                record.ticket.expires_at,
+            )
 
 
 def _claim_again(record: TicketRecord, fingerprint: str) -> Claim:
--- /dev/null
+++ b/basilwall/parts/tickets_test.py
@@ -0,0 +1,137 @@
+"""Tests of the mint and the table."""
+
+import base64
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.ticket_mint import TicketMint
+from basilwall.parts.tickets import KEEP_AFTER_EXPIRY, TicketTable
+from basilwall.records.order import (
+    OrderOutcome,
+    OrderReason,
+    OrderState,
+    Successor,
+)
+
+LIFETIME = 60
+RAN = OrderOutcome(OrderState.RAN, OrderReason.ANSWERED, b'[1]')
+
+
+class Vm:
+    """The parts of one VM that know tickets."""
+
+    def __init__(self, max_records=10):
+        self.clock = ManualClock()
+        self.mint = TicketMint('a:1', 'i1', b'k' * 16, self.clock, LIFETIME)
+        self.table = TicketTable(self.mint, self.clock, max_records)
+
+    def ticket(self):
+        return self.mint.read(self.mint.issue('desk'))
+
+    def run(self, ticket):
+        claim = self.table.claim(ticket, 'mark')
+        assert claim.first
+        self.table.finish(claim.record, RAN)
+
+
+@pytest.fixture
+def vm():
+    return Vm()
+
+
+def outcome(claim):
+    return claim.refused or claim.record.future.result(0)
+
+
+def test_one_of_many_copies_may_dispatch(vm):
+    ticket = vm.ticket()
+    together = threading.Barrier(8)
+
+    def copy(_):
+        together.wait()
+        return vm.table.claim(ticket, 'mark').first
+
+    with ThreadPoolExecutor(8) as pool:
+        assert sum(pool.map(copy, range(8))) == 1
+
+
+@pytest.mark.parametrize('body', [b'{"v":2}', b'[1,2]', b'\xff'])
+def test_a_signed_ticket_of_another_version_is_no_ticket(vm, body):
+    signed = vm.mint._sign(body) + body
+    assert vm.mint.read(base64.urlsafe_b64encode(signed).decode()) is None
+
+
+@pytest.mark.parametrize('text', ['', 'x', 'ä', '====', 'QUJD' * 20])
+def test_what_is_not_signed_is_no_ticket(vm, text):
+    assert vm.mint.read(text) is None
+
+
+def test_every_changed_letter_is_noticed(vm):
+    text = vm.mint.issue('desk')
+    for place, letter in enumerate(text.rstrip('=')[:-1]):
+        other = 'A' if letter != 'A' else 'B'
+        assert vm.mint.read(text[:place] + other + text[place + 1 :]) is None
+
+
+def test_a_wall_clock_that_steps_on_and_back_gives_no_second_claim(vm):
+    ticket = vm.ticket()
+    vm.run(ticket)
+    vm.clock.advance(LIFETIME + KEEP_AFTER_EXPIRY + 1)
+    vm.table.claim(vm.ticket(), 'other')
+    vm.clock.advance(-LIFETIME - KEEP_AFTER_EXPIRY - 1)
+    claim = vm.table.claim(ticket, 'mark')
+    assert not claim.first
+    assert outcome(claim).state is OrderState.UNKNOWN
+
+
+def test_an_expired_ticket_is_burnt_with_one_replacement(vm):
+    ticket = vm.ticket()
+    vm.clock.advance(LIFETIME + 1)
+    first, copy = (outcome(vm.table.claim(ticket, 'mark')) for _ in range(2))
+    assert first.state is OrderState.NOT_RUN
+    assert first == copy
+    vm.clock.advance(-LIFETIME - 1)
+    assert not vm.table.claim(ticket, 'mark').first
+
+
+def test_other_content_is_rejected(vm):
+    ticket = vm.ticket()
+    vm.run(ticket)
+    refused = outcome(vm.table.claim(ticket, 'other'))
+    assert refused.reason is OrderReason.OTHER_CONTENT
+
+
+def test_a_full_table_says_unknown_and_still_knows_its_records():
+    vm = Vm(max_records=1)
+    ran, late = vm.ticket(), vm.ticket()
+    vm.run(ran)
+    assert outcome(vm.table.claim(late, 'mark')).state is OrderState.UNKNOWN
+    assert outcome(vm.table.claim(ran, 'mark')) == RAN
+    assert len(vm.table) == 1
+
+
+def test_a_closed_table_names_the_same_replacement_as_its_peers(vm):
+    ticket = vm.ticket()
+    vm.table.close(Successor('b:1', 'i2'))
+    copies = {vm.table.claim(ticket, 'mark').refused for _ in range(2)}
+    assert len(copies) == 1
+    stopped = copies.pop()
+    assert stopped.state is OrderState.NOT_RUN
+    assert stopped.replacement == vm.mint.renew(ticket, 'b:1', 'i2')
+    renewed = vm.mint.read(stopped.replacement)
+    assert (renewed.owner, renewed.incarnation) == ('b:1', 'i2')
+    assert len(vm.table) == 0
+
+
+def test_a_closed_table_does_not_deny_what_it_forgot(vm):
+    ticket = vm.ticket()
+    vm.run(ticket)
+    vm.clock.advance(LIFETIME + KEEP_AFTER_EXPIRY + 1)
+    vm.table.claim(vm.ticket(), 'other')
+    vm.table.close(None)
+    vm.clock.advance(-LIFETIME)
+    refused = outcome(vm.table.claim(ticket, 'mark'))
+    assert refused.state is OrderState.UNKNOWN
--- a/basilwall/peer/client.py
+++ b/basilwall/peer/client.py
@@ -2,18 +2,22 @@
 
 import threading
 from collections.abc import Callable
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import grpc
 
 from basilwall.order.desk import OrderForwarder, OrderRequest
 from basilwall.parts.clock import Clock
+from basilwall.parts.membership import Membership
 from basilwall.peer.generated import peer_pb2, peer_pb2_grpc
 from basilwall.peer.outcomes import outcome_from_wire
 from basilwall.records.ids import VmAddress
-from basilwall.records.order import OrderOutcome, Ticket
+from basilwall.records.order import OrderOutcome, OrderState, Ticket
 
 MILLISECONDS = 1000
+#: Peers that are asked what a stopped VM left, and for how long, in seconds.
+MAX_ASKED = 17
+ASK_TIMEOUT = 0.5
 #: Largest message: a published value of 1 MB and its frame, in bytes.
 MAX_MESSAGE_BYTES = 4_194_304
 CHANNEL_OPTIONS = (
@@ -25,6 +29,8 @@
 )
 
 ReplyT = TypeVar('ReplyT')
+if TYPE_CHECKING:
+    _Reply = grpc.Future[peer_pb2.ForwardReply]
 
 
 class PeerError(Exception):
@@ -76,13 +82,22 @@
         return method()
     except grpc.RpcError as error:
         raise PeerError(str(error.code())) from error
+    except (ValueError, grpc.FutureCancelledError) as error:
+        # The library's answers if the channel was closed meanwhile.
+        raise PeerError(str(error)) from error
 
 
 class GrpcForwarder(OrderForwarder):
     """Passes orders on to the owners of their tickets."""
 
-    def __init__(self, clients: PeerClients, clock: Clock) -> None:
+    def __init__(
+        self,
+        clients: PeerClients,
+        membership: Membership,
+        clock: Clock,
+    ) -> None:
         self._clients = clients
+        self._membership = membership
         self._clock = clock
 
     def forward(
@@ -94,16 +109,61 @@
         left = request.deadline - self._clock.monotonic()
         if left <= 0:
             return None
-        message = peer_pb2.ForwardRequest(
-            service=request.service,
-            ticket=request.ticket,
-            body=request.body,
-            timeout_ms=int(left * MILLISECONDS),
-            request_id=request.request_id,
-        )
+        message = _message(request, left)
         stub = self._clients.stub(ticket.owner)
         try:
             reply = call(lambda: stub.Forward(message, timeout=left))
         except PeerError:
             return None
         return outcome_from_wire(reply)
+
+    def ask(self, request: OrderRequest) -> OrderOutcome | None:
+        """Ask all peers at once; None if no one knows in time."""
+        left = min(request.deadline - self._clock.monotonic(), ASK_TIMEOUT)
+        if left <= 0:
+            return None
+        message = _message(request, left)
+        asked = [
+            self._begin(member.address, message, left)
+            for member in self._membership.alive()[:MAX_ASKED]
+        ]
+        for reply in asked:
+            outcome = _known(reply)
+            if outcome is not None:
+                return outcome
+        return None
+
+    def _begin(
+        self,
+        address: VmAddress,
+        message: peer_pb2.ForwardRequest,
+        timeout: float,
+    ) -> '_Reply | None':
+        stub = self._clients.stub(address)
+        try:
+            reply: _Reply = call(
+                lambda: stub.Forward.future(message, timeout=timeout),
+            )
+        except PeerError:
+            return None
+        return reply
+
+
+def _message(request: OrderRequest, left: float) -> peer_pb2.ForwardRequest:
+    return peer_pb2.ForwardRequest(
+        service=request.service,
+        ticket=request.ticket,
+        body=request.body,
+        timeout_ms=int(left * MILLISECONDS),
+        request_id=request.request_id,
+    )
+
+
+def _known(reply: '_Reply | None') -> OrderOutcome | None:
+    if reply is None:
+        return None
+    try:
+        outcome = outcome_from_wire(call(reply.result))
+    except PeerError:
+        return None
+    return None if outcome.state is OrderState.UNKNOWN else outcome
--- a/basilwall/peer/handing_over.py
+++ b/basilwall/peer/handing_over.py
@@ -1,63 +1,155 @@
-"""Leave the outcomes of this VM's tickets with its peers before it ends."""
+"""Leave the outcomes of this VM's tickets with its peers before it ends.
+
+The outcomes that earlier stopped VMs left here travel along: otherwise those
+would be lost once every VM that heard them has been replaced.
+"""
 
 import logging
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import wait as wait_for_futures
 from functools import partial
 
-from basilwall.parts.membership import Membership
-from basilwall.parts.tickets import TicketRecord, TicketTable
+from basilwall.parts.clock import Clock
+from basilwall.parts.handovers import Handover, Handovers
+from basilwall.parts.membership import Member, Membership
+from basilwall.parts.tickets import (
+    KEEP_AFTER_EXPIRY,
+    TicketRecord,
+    TicketTable,
+)
 from basilwall.peer.client import PeerClients, PeerError, call
 from basilwall.peer.generated import peer_pb2
-from basilwall.peer.outcomes import ticket_outcome
-from basilwall.records.order import OrderOutcome, OrderReason, OrderState
+from basilwall.peer.handover_messages import handover_to_wire
+from basilwall.records.ids import VmAddress
+from basilwall.records.order import (
+    HandedOutcome,
+    OrderOutcome,
+    OrderReason,
+    OrderState,
+    Successor,
+)
 
-#: How long peers keep the outcomes, in milliseconds.
-KEEP_MS = 180_000
+#: Peers that are handed the outcomes.
+MAX_KEEPERS = 17
+#: One call, in seconds, and how often it is tried.
 CALL_TIMEOUT = 2.0
+MAX_TRIES = 3
+RETRY_PAUSE = 0.2
 _UNKNOWN = OrderOutcome(OrderState.UNKNOWN, OrderReason.REPLY_LOST)
 
 _log = logging.getLogger(__name__)
 
 
-def hand_over(
-    membership: Membership,
-    table: TicketTable,
-    clients: PeerClients,
-) -> int:
-    """Close the table and leave its outcomes with all peers.
-
-    Args:
-        membership: Whom to ask.
-        table: The orders begun here; none begins after this call.
-        clients: The way to the peers.
-
-    Returns:
-        How many peers keep the outcomes.
-    """
-    records = table.close()
-    own = membership.own
-    request = peer_pb2.HandOverRequest(
-        sender=peer_pb2.VmIdentity(
-            address=own.address,
-            incarnation=own.incarnation,
-            leaving=True,
-        ),
-        outcomes=[_outcome(record) for record in records],
-        closed=True,
-        keep_ms=KEEP_MS,
-    )
-    kept = 0
-    for member in membership.alive():
-        stub = clients.stub(member.address)
-        try:
-            call(partial(stub.HandOver, request, timeout=CALL_TIMEOUT))
-        except PeerError:
-            _log.warning('handover lost', extra={'peer': member.address})
-        else:
-            kept += 1
-    return kept
-
-
-def _outcome(record: TicketRecord) -> peer_pb2.TicketOutcome:
+class HandingOver:
+    """Closes the ticket table of a stopping VM and hands over what it held."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        table: TicketTable,
+        handovers: Handovers,
+        clients: PeerClients,
+        clock: Clock,
+    ) -> None:
+        self._membership = membership
+        self._table = table
+        self._handovers = handovers
+        self._clients = clients
+        self._clock = clock
+
+    def run(self, lifetime: float, limit: float) -> int:
+        """Begin no further order, let those begun end, and hand over.
+
+        Args:
+            lifetime: How long a ticket of this VM lives, in seconds.
+            limit: The longest wait for orders that still run, in seconds.
+
+        Returns:
+            How many peers keep all of the outcomes.
+        """
+        successor = self._successor()
+        records = self._table.close(successor)
+        forgotten_until = self._table.forgotten_until
+        wait_for_futures([record.future for record in records], limit)
+        now = self._clock.monotonic()
+        own = Handover(
+            owner=self._membership.own.address,
+            incarnation=self._membership.own.incarnation,
+            handed_by_number={
+                record.ticket.number: _handed(record) for record in records
+            },
+            total=len(records),
+            forgotten_until=forgotten_until,
+            successor=successor,
+            expires_at=now + lifetime + KEEP_AFTER_EXPIRY,
+        )
+        return self._hand([own, *self._handovers.held()])
+
+    def _successor(self) -> Successor | None:
+        staying = sorted(
+            (member.address, member.incarnation)
+            for member in self._membership.alive()
+            if not member.leaving and member.incarnation
+        )
+        return Successor(*staying[0]) if staying else None
+
+    def _keepers(self) -> list[VmAddress]:
+        alive = [member.address for member in self._staying_first()]
+        others = [
+            address
+            for address in self._membership.peers()
+            if address not in alive
+        ]
+        return [*alive, *others][:MAX_KEEPERS]
+
+    def _staying_first(self) -> list[Member]:
+        return sorted(
+            self._membership.alive(),
+            key=lambda member: (member.leaving, member.address),
+        )
+
+    def _hand(self, handovers: Sequence[Handover]) -> int:
+        now = self._clock.monotonic()
+        messages = [
+            message
+            for handover in handovers
+            for message in handover_to_wire(handover, now)
+        ]
+        keepers = self._keepers()
+        if not keepers:
+            return 0
+        with ThreadPoolExecutor(len(keepers)) as pool:
+            return sum(pool.map(partial(self._leave, messages), keepers))
+
+    def _leave(
+        self,
+        messages: Sequence[peer_pb2.HandOverRequest],
+        keeper: VmAddress,
+    ) -> bool:
+        left = all(self._send(message, keeper) for message in messages)
+        if not left:
+            _log.warning('handover lost', extra={'peer': keeper})
+        return left
+
+    def _send(
+        self,
+        message: peer_pb2.HandOverRequest,
+        keeper: VmAddress,
+    ) -> bool:
+        for _ in range(MAX_TRIES):
+            stub = self._clients.stub(keeper)
+            try:
+                call(partial(stub.HandOver, message, timeout=CALL_TIMEOUT))
+            except PeerError:
+                time.sleep(RETRY_PAUSE)
+            else:
+                return True
+        return False
+
+
+def _handed(record: TicketRecord) -> HandedOutcome:
     done = record.future.done()
     outcome = record.future.result() if done else _UNKNOWN
-    return ticket_outcome(record.ticket.number, record.fingerprint, outcome)
+    return HandedOutcome(record.fingerprint, outcome)
--- /dev/null
+++ b/basilwall/peer/handover_messages.py
@@ -0,0 +1,109 @@
+"""Handovers as they travel between VMs, in messages of a bounded size."""
+
+from collections.abc import Iterator
+
+from basilwall.parts.handovers import OUTCOME_BYTES, Handover
+from basilwall.peer.generated import peer_pb2
+from basilwall.peer.outcomes import outcome_from_wire, ticket_outcome
+from basilwall.records.ids import Incarnation, VmAddress
+from basilwall.records.order import (
+    HandedOutcome,
+    OrderOutcome,
+    OrderReason,
+    OrderState,
+    Successor,
+)
+
+MILLISECONDS = 1000
+#: Size of one message, and of one outcome that can travel, in bytes.
+MAX_BATCH_BYTES = 1_048_576
+TOO_LARGE = OrderOutcome(OrderState.UNKNOWN, OrderReason.REPLY_LOST)
+
+_Outcomes = list[peer_pb2.TicketOutcome]
+
+
+def handover_to_wire(
+    handover: Handover,
+    now: float,
+) -> list[peer_pb2.HandOverRequest]:
+    """Return the messages that hand over the outcomes of one VM.
+
+    Args:
+        handover: The outcomes.
+        now: Monotonic seconds.
+
+    Returns:
+        One or more messages; an outcome too large for any becomes UNKNOWN.
+    """
+    successor = handover.successor
+    return [
+        peer_pb2.HandOverRequest(
+            owner=_identity(handover.owner, handover.incarnation),
+            outcomes=batch,
+            keep_ms=int(max(handover.expires_at - now, 0) * MILLISECONDS),
+            total=handover.total,
+            forgotten_until_ms=int(handover.forgotten_until * MILLISECONDS),
+            successor=(
+                None
+                if successor is None
+                else _identity(successor.owner, successor.incarnation)
+            ),
+        )
+        for batch in _batches(handover)
+    ]
+
+
+def handover_from_wire(
+    message: peer_pb2.HandOverRequest,
+    now: float,
+) -> Handover:
+    """Return what one message hands over.
+
+    Args:
+        message: One of the messages of a VM.
+        now: Monotonic seconds.
+
+    Returns:
+        A part of the handover, or all of it.
+    """
+    successor = None
+    if message.HasField('successor'):
+        successor = Successor(
+            VmAddress(message.successor.address),
+            Incarnation(message.successor.incarnation),
+        )
+    return Handover(
+        owner=VmAddress(message.owner.address),
+        incarnation=Incarnation(message.owner.incarnation),
+        handed_by_number={
+            one.number: HandedOutcome(one.fingerprint, outcome_from_wire(one))
+            for one in message.outcomes
+        },
+        total=message.total,
+        forgotten_until=message.forgotten_until_ms / MILLISECONDS,
+        successor=successor,
+        expires_at=now + message.keep_ms / MILLISECONDS,
+    )
+
+
+def _batches(handover: Handover) -> Iterator[_Outcomes]:
+    batch: _Outcomes = []
+    size = 0
+    for number, handed in handover.handed_by_number.items():
+        cost = OUTCOME_BYTES + len(handed.outcome.body)
+        if cost > MAX_BATCH_BYTES:
+            handed = HandedOutcome(handed.fingerprint, TOO_LARGE)
+            cost = OUTCOME_BYTES
+        if size + cost > MAX_BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(ticket_outcome(number, handed))
+        size += cost
+    yield batch
+
+
+def _identity(
+    address: VmAddress,
+    incarnation: Incarnation,
+) -> peer_pb2.VmIdentity:
+    return peer_pb2.VmIdentity(address=address, incarnation=incarnation)
--- a/basilwall/peer/outcomes.py
+++ b/basilwall/peer/outcomes.py
@@ -3,7 +3,12 @@
 from dataclasses import replace
 
 from basilwall.peer.generated import peer_pb2
-from basilwall.records.order import OrderOutcome, OrderReason, OrderState
+from basilwall.records.order import (
+    HandedOutcome,
+    OrderOutcome,
+    OrderReason,
+    OrderState,
+)
 
 _WIRE_BY_STATE = {
     OrderState.RAN: peer_pb2.ORDER_STATE_RAN,
@@ -12,6 +17,7 @@
     OrderState.REJECTED: peer_pb2.ORDER_STATE_REJECTED,
 }
 _STATE_BY_WIRE = {wire: state for state, wire in _WIRE_BY_STATE.items()}
+_REASON_BY_TEXT = {reason.value: reason for reason in OrderReason}
 
 
 def outcome_to_wire(outcome: OrderOutcome) -> peer_pb2.ForwardReply:
@@ -28,31 +34,33 @@
 def outcome_from_wire(
     message: peer_pb2.ForwardReply | peer_pb2.TicketOutcome,
 ) -> OrderOutcome:
-    """Return the outcome of a message; a state not known here is UNKNOWN."""
+    """Return the outcome of a message.
+
+    A peer of another version may know more: a state that is not known here is
+    UNKNOWN, a reason OTHER.
+    """
     outcome = OrderOutcome(
         _STATE_BY_WIRE.get(message.state, OrderState.UNKNOWN),
-        OrderReason(message.reason),
+        _REASON_BY_TEXT.get(message.reason, OrderReason.OTHER),
         message.body,
+        replacement=message.replacement,
     )
     if isinstance(message, peer_pb2.TicketOutcome):
         return outcome
-    return replace(
-        outcome,
-        retry_after_ms=message.retry_after_ms,
-        replacement=message.replacement,
-    )
+    return replace(outcome, retry_after_ms=message.retry_after_ms)
 
 
 def ticket_outcome(
     number: str,
-    mark: str,
-    outcome: OrderOutcome,
+    handed: HandedOutcome,
 ) -> peer_pb2.TicketOutcome:
     """Return the message that leaves one ticket's outcome with a peer."""
+    outcome = handed.outcome
     return peer_pb2.TicketOutcome(
         number=number,
         state=_WIRE_BY_STATE[outcome.state],
         body=outcome.body,
         reason=outcome.reason.value,
-        fingerprint=mark,
+        fingerprint=handed.fingerprint,
+        replacement=outcome.replacement,
     )
--- a/basilwall/peer/server.py
+++ b/basilwall/peer/server.py
@@ -8,12 +8,13 @@
 
 from basilwall.order.desk import OrderDesk, OrderRequest
 from basilwall.parts.clock import Clock
-from basilwall.parts.handovers import Handover, Handovers
+from basilwall.parts.handovers import Handovers
 from basilwall.peer.client import CHANNEL_OPTIONS
 from basilwall.peer.facts import MILLISECONDS, Facts
 from basilwall.peer.generated import peer_pb2, peer_pb2_grpc
-from basilwall.peer.outcomes import outcome_from_wire, outcome_to_wire
-from basilwall.records.ids import Incarnation, RequestId, ServiceName
+from basilwall.peer.handover_messages import handover_from_wire
+from basilwall.peer.outcomes import outcome_to_wire
+from basilwall.records.ids import RequestId, ServiceName
 
 SERVER_THREADS = 32
 #: Beyond this many calls at once the library refuses, before any runs.
@@ -67,6 +68,10 @@
     ) -> peer_pb2.ForwardReply:
         """Run an order whose ticket this VM minted, or say what is known."""
         left = request.timeout_ms / MILLISECONDS
+        # Counts the time in this server's queue too.
+        remaining = context.time_remaining()
+        if remaining is not None:
+            left = min(left, remaining)
         outcome = self._desk.take_forwarded(
             OrderRequest(
                 RequestId(request.request_id),
@@ -84,18 +89,8 @@
         context: grpc.ServicerContext,
     ) -> peer_pb2.HandOverReply:
         """Keep the outcomes that a stopping VM leaves."""
-        kept_for = request.keep_ms / MILLISECONDS
-        self._handovers.keep(
-            Handover(
-                Incarnation(request.sender.incarnation),
-                {
-                    one.number: outcome_from_wire(one)
-                    for one in request.outcomes
-                },
-                request.closed,
-                self._clock.monotonic() + kept_for,
-            ),
-        )
+        now = self._clock.monotonic()
+        self._handovers.keep(handover_from_wire(request, now))
         return peer_pb2.HandOverReply(kept=True)
 
 
--- a/basilwall/records/order.py
+++ b/basilwall/records/order.py
@@ -33,6 +33,7 @@
     OWNER_RESTARTED = 'owner_restarted'
     REPLY_LOST = 'reply_lost'
     STILL_RUNNING = 'still_running'
+    OTHER = 'other'
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,3 +63,19 @@
     incarnation: Incarnation
     number: str
     expires_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """The VM that takes over orders which a stopped VM never ran."""
+
+    owner: VmAddress
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOutcome:
+    """The outcome of one ticket and the fingerprint of its content."""
+
+    fingerprint: str
+    outcome: OrderOutcome
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -30,10 +30,11 @@
 from basilwall.parts.quarantine import Quarantine
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.parts.tasks import TaskGroup, task_group
-from basilwall.parts.tickets import TicketMint, TicketTable
+from basilwall.parts.ticket_mint import TicketMint
+from basilwall.parts.tickets import TicketTable
 from basilwall.peer.client import GrpcForwarder, PeerClients
 from basilwall.peer.facts import Facts
-from basilwall.peer.handing_over import hand_over
+from basilwall.peer.handing_over import HandingOver
 from basilwall.peer.links import PeerLinks
 from basilwall.peer.server import PeerService, peer_server
 from basilwall.platform.client import HttpPlatform
@@ -46,6 +47,8 @@
 from basilwall.settings.model import Settings
 
 MIN_KEY_BYTES = 16
+#: Time for the last replies if the limit of the stop is used up, in seconds.
+LEAST_LIMIT = 1.0
 
 _log = logging.getLogger(__name__)
 
@@ -85,9 +88,14 @@
         self.core = core
         self._service = service
         self._server = server
-        self._desk = desk
-        self._clients = clients
         self._links = links
+        self._handing_over = HandingOver(
+            core.membership,
+            desk.table,
+            core.handovers,
+            clients,
+            core.clock,
+        )
 
     def stop(self, hurry: threading.Event) -> bool:
         """Stop by plan: finish what is in flight and answer for tickets.
@@ -103,9 +111,16 @@
         self.core.membership.leave()
         self._links.wake()
         hurry.wait(stop.balancer_lag_s)
-        idle = self.core.admission.wait_idle(stop.limit_s)
-        flushed = self._server.wait_flushed(stop.limit_s)
-        hand_over(self.core.membership, self._desk.table, self._clients)
+        end = self.core.clock.monotonic() + stop.limit_s
+        self.core.admission.wait_idle(stop.limit_s)
+        self._handing_over.run(
+            self.core.settings.ticket_lifetime_s,
+            max(end - self.core.clock.monotonic(), 0),
+        )
+        # Callers came in during the handover too.
+        left = max(end - self.core.clock.monotonic(), LEAST_LIMIT)
+        idle = self.core.admission.wait_idle(left)
+        flushed = self._server.wait_flushed(left)
         if not (idle and flushed):
             _log.error('requests cut off at the limit of the stop')
         return idle and flushed
@@ -139,7 +154,7 @@
             source,
         )
         stack.callback(pools.close)
-        desk = _desk(core, pools, clients)
+        desk = _desk(core, pools, clients, source)
         service = _caller_service(core, pools, desk)
         facts = Facts(
             core.register,
@@ -185,6 +200,7 @@
     core: Core,
     pools: SearcherPools,
     clients: PeerClients,
+    source: random.Random,
 ) -> OrderDesk:
     settings = core.settings
     own = core.membership.own
@@ -199,9 +215,10 @@
         mint,
         TicketTable(mint, core.clock, settings.limits.tickets),
         OrderDispatcher(core.state, pools, core.clock),
-        GrpcForwarder(clients, core.clock),
+        GrpcForwarder(clients, core.membership, core.clock),
         core.handovers,
         core.clock,
+        source,
     )
 
 
