End an order that was held back, and give up at its deadline

A process that slept past MAX_PAUSE between its decision and the first byte did not send, but then offered the order to the next searcher with a fresh decision: 3 searchers in place of 1, seen to fail on for a pause on both clocks and one on the wall clock alone, as after a suspended machine. Now the order ends as NOT_RUN with the reason PAUSED, or EXPIRED if it is too late.

The dispatch waited without end for an outcome; a searcher that sends its reply byte by byte held the caller past the deadline. Now it cancels the attempt at the deadline and says UNKNOWN.

--- a/basilwall/order/dispatch.py
+++ b/basilwall/order/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass, field
 
 from basilwall.backend.pool import AttemptJob
@@ -35,7 +36,8 @@
 MAX_PAUSE = 1.0
 #: How often one order may be sent after proofs that it did not run.
 MAX_SENDS = 4
-RETRY_AFTER_MS = 500
+#: Time for the outcome of an attempt that was given up on, in seconds.
+CANCEL_GRACE = 0.1
 
 _REASON_BY_TAG = {
     OutcomeTag.SHED: OrderReason.OVERLOADED,
@@ -65,6 +67,15 @@
 
     tried: set[SearcherAddress] = field(default_factory=set)
     last: NotRun | None = None
+    held_back: OrderReason | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Moment:
+    """One moment on both clocks: a suspended machine stops the monotonic."""
+
+    monotonic: float
+    wall: float
 
 
 class OrderDispatcher:
@@ -114,6 +125,7 @@
         sends: _Sends,
         number: int,
     ) -> OrderOutcome | None:
+        decided = _Moment(self._clock.monotonic(), self._clock.wall())
         pool = self._pools.pick(part, sends.tried)
         if pool is None:
             return _from_last(sends.last)
@@ -129,20 +141,41 @@
             deadline=order.deadline,
         )
         arrived: Future[AttemptOutcome] = Future()
-        decided_at = self._clock.monotonic()
-        pool.submit(
-            AttemptJob(
-                request,
-                lambda _, outcome: arrived.set_result(outcome),
-                may_send=lambda: self._may_send(order, decided_at),
-            ),
+        job = AttemptJob(
+            request,
+            lambda _, outcome: arrived.set_result(outcome),
+            may_send=lambda: self._may_send(order, decided, sends),
         )
-        return _judge(arrived.result(), sends)
+        pool.submit(job)
+        return _judge(self._wait(arrived, job), sends)
 
-    def _may_send(self, order: Order, decided_at: float) -> bool:
-        now = self._clock.monotonic()
-        fresh = now - decided_at <= MAX_PAUSE and now < order.deadline
-        return fresh and self._clock.wall() < order.ticket_expires_at
+    def _may_send(
+        self,
+        order: Order,
+        decided: _Moment,
+        sends: _Sends,
+    ) -> bool:
+        now = _Moment(self._clock.monotonic(), self._clock.wall())
+        sends.held_back = _held_back(order, decided, now)
+        return sends.held_back is None
+
+    def _wait(
+        self,
+        arrived: Future[AttemptOutcome],
+        job: AttemptJob,
+    ) -> AttemptOutcome:
+        left = job.request.deadline - self._clock.monotonic()
+        try:
+            return arrived.result(timeout=max(left, 0))
+        except FutureTimeoutError:
+            job.cancel()
+        try:
+            return arrived.result(timeout=CANCEL_GRACE)
+        except FutureTimeoutError:
+            return MayHaveRun(
+                job.searcher or SearcherAddress(''),
+                OutcomeTag.LATE,
+            )
 
 
 def _judge(outcome: AttemptOutcome, sends: _Sends) -> OrderOutcome | None:
@@ -156,13 +189,27 @@
         return OrderOutcome(
             OrderState.UNKNOWN,
             OrderReason.REPLY_LOST,
-            retry_after_ms=RETRY_AFTER_MS,
         )
+    if sends.held_back is not None:
+        return _not_run(sends.held_back)
     sends.last = outcome
     rule = RULE_BY_KIND_AND_TAG[RequestKind.NON_IDEMPOTENT, outcome.tag]
     return None if rule.again else _from_last(outcome)
 
 
+def _held_back(
+    order: Order,
+    decided: _Moment,
+    now: _Moment,
+) -> OrderReason | None:
+    slept = max(now.monotonic - decided.monotonic, now.wall - decided.wall)
+    if slept > MAX_PAUSE:
+        return OrderReason.PAUSED
+    if now.monotonic >= order.deadline or now.wall >= order.ticket_expires_at:
+        return OrderReason.EXPIRED
+    return None
+
+
 def _from_last(last: NotRun | None) -> OrderOutcome:
     if last is None:
         return _not_run(OrderReason.NO_SEARCHER)
@@ -177,5 +224,5 @@
     return OrderOutcome(
         OrderState.NOT_RUN,
         reason,
-        retry_after_ms=retry_after_ms or RETRY_AFTER_MS,
+        retry_after_ms=retry_after_ms,
     )
--- /dev/null
+++ b/basilwall/order/dispatch_test.py
@@ -0,0 +1,135 @@
+"""Tests of the one dispatch of an order."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from basilwall.order import dispatch as module
+from basilwall.order.dispatch import Order, OrderDispatcher
+from basilwall.parts.clock import ManualClock
+from basilwall.records.attempt import Answered, MayHaveRun, NotRun, OutcomeTag
+from basilwall.records.order import OrderReason, OrderState
+
+
+class FakeClock(ManualClock):
+    """A clock whose wall can step alone."""
+
+    step = 0
+
+    def wall(self):
+        return super().wall() + self.step
+
+
+class FakePool:
+    """A searcher that answers as told, after what happens before the send."""
+
+    def __init__(self, address, pools):
+        self.address = address
+        self._pools = pools
+
+    def submit(self, job):
+        job.searcher = self.address
+        self._pools.offered.append(job)
+        self._pools.before_send()
+        if not job.may_send():
+            job.deliver(job, NotRun(self.address, OutcomeTag.NOT_SENT))
+            return
+        self._pools.sent += 1
+        make = self._pools.outcomes.pop(0)
+        if make is not None:
+            job.deliver(job, make(self.address))
+
+
+class FakePools:
+    """Three searchers of one part."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.offered = []
+        self.sent = 0
+        self.before_send = int
+
+    def pick(self, part, tried):
+        left = [one for one in part.searchers if one not in tried]
+        return FakePool(left[0], self) if left else None
+
+
+def shed(address):
+    return NotRun(address, OutcomeTag.SHED, '', 700)
+
+
+def lost(address):
+    return MayHaveRun(address, OutcomeTag.LOST)
+
+
+def answered(address):
+    return Answered(address, 's1', b'[1]', 1, 1)
+
+
+def dispatch(pools, clock, **changes):
+    part = SimpleNamespace(instance='p', searchers=['x', 'y', 'z'])
+    snapshot = SimpleNamespace(snapshot_id='s1', parts=[part])
+    catalogue = SimpleNamespace(snapshots=[snapshot])
+    state = SimpleNamespace(catalogue_by_service={'desk': catalogue})
+    fields = {'deadline': 1002.0, 'ticket_expires_at': 1060.0, **changes}
+    order = Order('r', 'desk', b'{}', place=0, **fields)
+    return OrderDispatcher(state, pools, clock).dispatch(order)
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'sent', 'state', 'reason'),
+    [
+        ([answered], 1, OrderState.RAN, OrderReason.ANSWERED),
+        ([shed, answered], 2, OrderState.RAN, OrderReason.ANSWERED),
+        ([lost], 1, OrderState.UNKNOWN, OrderReason.REPLY_LOST),
+        ([shed, lost], 2, OrderState.UNKNOWN, OrderReason.REPLY_LOST),
+        ([shed, shed, shed], 3, OrderState.NOT_RUN, OrderReason.OVERLOADED),
+    ],
+)
+def test_only_a_proof_that_it_did_not_run_allows_another(
+    outcomes,
+    sent,
+    state,
+    reason,
+):
+    pools = FakePools(*outcomes)
+    outcome = dispatch(pools, FakeClock())
+    assert (pools.sent, outcome.state, outcome.reason) == (sent, state, reason)
+
+
+@pytest.mark.parametrize('wall_only', [True, False])
+def test_a_pause_before_the_first_byte_ends_the_order(wall_only):
+    pools, clock = FakePools(answered), FakeClock()
+
+    def pause():
+        if wall_only:
+            clock.step = 1.1
+        else:
+            clock.advance(1.1)
+
+    pools.before_send = pause
+    outcome = dispatch(pools, clock)
+    assert pools.sent == 0
+    assert len(pools.offered) == 1
+    assert outcome.state is OrderState.NOT_RUN
+    assert outcome.reason is OrderReason.PAUSED
+
+
+@pytest.mark.parametrize(
+    'late',
+    [{'deadline': 1000.0}, {'ticket_expires_at': 1000.0}],
+)
+def test_nothing_is_sent_too_late(late):
+    pools = FakePools(answered)
+    outcome = dispatch(pools, FakeClock(), **late)
+    assert pools.sent == 0
+    assert outcome.state is OrderState.NOT_RUN
+
+
+def test_the_order_is_given_up_on_at_its_deadline(monkeypatch):
+    monkeypatch.setattr(module, 'CANCEL_GRACE', 0.01)
+    pools, clock = FakePools(None), FakeClock()
+    outcome = dispatch(pools, clock, deadline=1000.01)
+    assert outcome.state is OrderState.UNKNOWN
+    assert pools.offered[0].cancelled
+    pools.offered[0].deliver(pools.offered[0], answered('x'))
