Burn a ticket that its owner refuses, with advice on every refusal

Elsewhere it stays UNKNOWN.

UNKNOWN for a restarted owner or an expired ticket, and a failed request, came without Retry-After.

--- a/basilwall/caller/app.py
+++ b/basilwall/caller/app.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from wsgiref.types import StartResponse, WSGIEnvironment
 
+FAILED_RETRY_MS = 1000
 _SERVICE_PATH = re.compile(
     '/v1/services/(?P<service>[^/]+)/(?P<action>query|tickets|orders)',
 )
@@ -95,5 +96,6 @@
             detail=detail,
             request_id=request.request_id,
             outcome=outcome,
+            retry_after_ms=FAILED_RETRY_MS if outcome == 'unknown' else 0,
         ),
     )
--- a/basilwall/caller/service.py
+++ b/basilwall/caller/service.py
@@ -27,7 +27,7 @@
 from basilwall.query.runner import QueryRunner
 from basilwall.records.answer import QueryAnswer, Refusal, RefusalReason
 from basilwall.records.ids import ServiceName
-from basilwall.records.order import OrderOutcome, OrderReason, OrderState
+from basilwall.records.order import OrderOutcome, OrderReason
 
 MILLISECONDS = 1000
 RETRY_AFTER_MS = 100
@@ -128,30 +128,30 @@
         request: CallerRequest,
         document: Document | None,
     ) -> OrderOutcome:
-        ticket = request.header('Idempotency-Key').strip('"')
-        if document is None:
-            return OrderOutcome(
-                OrderState.UNKNOWN if ticket else OrderState.NOT_RUN,
-                OrderReason.UNKNOWN_SERVICE,
-            )
-        deadline = self._deadline(request, document.order_deadline_ms)
         order = OrderRequest(
             request.request_id,
             service,
-            ticket,
+            request.header('Idempotency-Key').strip('"'),
             request.body(),
-            deadline,
+            self._order_deadline(request, document),
         )
+        if document is None:
+            return self._desk.refuse(order, OrderReason.UNKNOWN_SERVICE)
         class_name = document.class_named(request.header('Request-Class'))
         try:
             with self._admission.admitted(document, class_name):
                 return self._desk.take(order)
         except NotAdmittedError:
-            return OrderOutcome(
-                OrderState.UNKNOWN if ticket else OrderState.NOT_RUN,
-                OrderReason.OVERLOADED,
-                retry_after_ms=RETRY_AFTER_MS,
-            )
+            return self._desk.refuse(order, OrderReason.OVERLOADED)
+
+    def _order_deadline(
+        self,
+        request: CallerRequest,
+        document: Document | None,
+    ) -> float:
+        if document is None:
+            return self._clock.monotonic()
+        return self._deadline(request, document.order_deadline_ms)
 
     def _deadline(self, request: CallerRequest, default_ms: int) -> float:
         asked = request.timeout_ms(default_ms)
