--- a/basilwall/standin/demo.py
+++ b/basilwall/standin/demo.py
@@ -1,7 +1,6 @@
 """The demo: one VM and its stand-ins in one process, with real requests."""
 
 import http.client
-import os
 import random
 import socket
 import tempfile
@@ -45,7 +44,7 @@
     another one has just chosen is still free until it listens there.
     """
     firsts = list(range(FIRST_PORT, LAST_PORT, count))
-    random.Random(os.getpid()).shuffle(firsts)
+    random.Random().shuffle(firsts)
     for first in firsts:
         if all(_is_free(first + offset) for offset in range(count)):
             return first
