Measure the slopes of state and the ways to many searchers

Cause: docs/CAPACITY.md needs measured slopes, not estimates. Ruled out: counting every byte by sizes of objects, which misses shared keys; tracemalloc sees what the allocator gave out.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,11 +4,13 @@
 import tempfile
 from pathlib import Path
 
-from bench import data_path
+from bench import data_path, relays, slopes
 from bench.report import show
 
 SCENARIOS = {
     'data-path': data_path.run,
+    'slopes': slopes.run,
+    'relays': relays.run,
 }
 
 
