Say nothing of a ticket in the answer to a bad request

A resend with a malformed header, body type, method or path was told "not run" although the order of its ticket may have run before: seen in 4 of 4 cases before the change. The outcome is now "rejected" whenever a ticket comes along; without one nothing ran and "not_run" stays.

--- a/basilwall/caller/app.py
+++ b/basilwall/caller/app.py
@@ -50,7 +50,7 @@
             reply = self._route(request)
         except BadRequestError as error:
             self._service.count_bad_request()
-            reply = _problem(request, error.status, 'not_run', str(error))
+            reply = _refused(request, error.status, str(error))
         except Exception:
             _log.exception('request failed')
             reply = _problem(
@@ -73,15 +73,25 @@
             return plain()
         matched = _SERVICE_PATH.fullmatch(request.path)
         if matched is None:
-            return _problem(request, HTTPStatus.NOT_FOUND, 'not_run')
+            return _refused(request, HTTPStatus.NOT_FOUND)
         route = self._by_method_and_action.get(
             (request.method, matched['action']),
         )
         if route is None:
-            return _problem(request, HTTPStatus.METHOD_NOT_ALLOWED, 'not_run')
+            return _refused(request, HTTPStatus.METHOD_NOT_ALLOWED)
         return route(ServiceName(matched['service']), request)
 
 
+def _refused(
+    request: CallerRequest,
+    status: HTTPStatus,
+    detail: str = '',
+) -> Reply:
+    # The order of a ticket may have run before, so nothing is said of it.
+    outcome = 'rejected' if request.header('Idempotency-Key') else 'not_run'
+    return _problem(request, status, outcome, detail)
+
+
 def _problem(
     request: CallerRequest,
     status: HTTPStatus,
--- a/basilwall/caller/service_orders_test.py
+++ b/basilwall/caller/service_orders_test.py
@@ -1,11 +1,13 @@
 """Tests of how callers are refused an order: at once, truly, with advice."""
 
+import io
 import json
 from types import SimpleNamespace
 
 import pytest
 
 from basilwall.caller.admission import Admission
+from basilwall.caller.app import CallerApp
 from basilwall.caller.service import CallerService
 from basilwall.caller.wire import order_reply
 from basilwall.document.model import Document
@@ -13,6 +15,9 @@
 from basilwall.order.desk_test import Vm
 from basilwall.records.order import OrderState
 
+ROUTES = ('query', 'ticket', 'order', 'live', 'ready', 'status')
+COUNTS = {'count_bad_request': int}
+
 
 def post(vm, ticket, admitted=64, documents=('desk',)):
     service = CallerService(
@@ -64,3 +69,29 @@
     assert told['retry_after_ms'] > 0
     assert dict(reply.headers())['Retry-After']
     assert order_reply('r', vm.take('forged')).status == 422
+
+
+@pytest.mark.parametrize(
+    'bad',
+    [
+        {'HTTP_REQUEST_TIMEOUT_MS': 'soon'},
+        {'CONTENT_TYPE': 'text/plain'},
+        {'REQUEST_METHOD': 'PUT'},
+        {'PATH_INFO': '/v1/services/desk/order'},
+    ],
+)
+def test_a_bad_resend_says_nothing_of_its_ticket(bad):
+    app = CallerApp(SimpleNamespace(**dict.fromkeys(ROUTES), **COUNTS))
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'PATH_INFO': '/v1/services/desk/orders',
+        'HTTP_IDEMPOTENCY_KEY': 'a ticket that may have run',
+        'wsgi.input': io.BytesIO(b'{}'),
+        **bad,
+    }
+    app._by_method_and_action['POST', 'orders'] = lambda _, request: [
+        request.body(),
+        request.timeout_ms(1),
+    ]
+    body = b''.join(app(environ, lambda *_: None))
+    assert json.loads(body)['outcome'] == 'rejected'
