Believe hearsay about VMs only as far as it goes

Cause, seen on the code before with a clock that reads 1 s, as right after a boot: a member that others only named counted as alive, because 'never heard from' was written as second 0. Beside that, a member that leaves was believed to stay until it said so itself, the table had no cap, and a VM that starts while the platform is down knew nobody to ask: seeds now name VMs in its settings.

Ruled out: to let hearsay refresh a sighting; dead VMs would then be named for ever by VMs that name each other.

--- a/basilwall/parts/membership.py
+++ b/basilwall/parts/membership.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 from basilwall.parts.clock import Clock
@@ -14,8 +15,11 @@
 FORGET_AFTER = 60.0
 #: A member heard from within this time counts as alive, in seconds.
 ALIVE_WITHIN = 5.0
+#: Members kept beside those of the fleet list; further ones are passed over.
+MAX_MEMBERS = 4096
 NO_INCARNATION = Incarnation('')
 NO_ZONE = Zone('')
+_NEVER = float('-inf')
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,22 +40,31 @@
 
 
 class Membership:
-    """The VMs that this one knows, itself among them."""
+    """The VMs that this one knows, itself among them.
 
-    def __init__(self, own: Member, clock: Clock) -> None:
+    `seeds` are asked first and always, also while there is no fleet list.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        clock: Clock,
+        seeds: Collection[VmAddress] = (),
+    ) -> None:
         self.own = own
         self._clock = clock
+        self._seeds = frozenset(seeds) - {own.address}
         self._by_address: dict[VmAddress, _Sighting] = {}
-        self._listed: set[VmAddress] = set()
+        self._listed: frozenset[VmAddress] = frozenset()
         self._lock = threading.Lock()
 
     def leave(self) -> None:
         """Tell others from now on that this VM is leaving."""
         self.own = replace(self.own, leaving=True)
 
-    def listed(self, addresses: set[VmAddress]) -> None:
+    def listed(self, addresses: Collection[VmAddress]) -> None:
         """Take in the live VMs of the fleet list."""
-        self._listed = addresses - {self.own.address}
+        self._listed = frozenset(addresses) - {self.own.address}
 
     def heard_from(self, member: Member) -> None:
         """Note that a member itself has spoken."""
@@ -59,22 +72,26 @@
         self._note(_Sighting(member, now, now))
 
     def heard_of(self, member: Member) -> None:
-        """Note that somebody named a member as alive."""
-        known = self._by_address.get(member.address)
+        """Note that somebody named a member as alive.
+
+        What the member itself said counts more; only that it is leaving is
+        believed of others, for the same incarnation.
+        """
+        with self._lock:
+            known = self._by_address.get(member.address)
         if known is None:
             now = self._clock.monotonic()
-            self._note(_Sighting(member, 0, now))
+            self._note(_Sighting(member, _NEVER, now))
+        elif member.leaving and member.incarnation == known.member.incarnation:
+            self._note(replace(known, member=member))
 
     def peers(self) -> list[VmAddress]:
         """Return the addresses to talk to, this VM's own not among them."""
-        horizon = self._clock.monotonic() - FORGET_AFTER
         with self._lock:
-            self._by_address = {
-                address: sighting
-                for address, sighting in self._by_address.items()
-                if sighting.heard_of_at > horizon
-            }
-            return sorted(self._listed | self._by_address.keys())
+            self._forget()
+            return sorted(
+                self._seeds | self._listed | self._by_address.keys(),
+            )
 
     def alive(self) -> list[Member]:
         """Return the members heard from lately."""
@@ -86,8 +103,22 @@
                 if sighting.heard_from_at > horizon
             ]
 
+    def _forget(self) -> None:
+        now = self._clock.monotonic()
+        self._by_address = {
+            address: sighting
+            for address, sighting in self._by_address.items()
+            if now - sighting.heard_of_at < _patience(sighting.member)
+        }
+
     def _note(self, sighting: _Sighting) -> None:
         address = sighting.member.address
-        if address and address != self.own.address:
-            with self._lock:
+        with self._lock:
+            known = address in self._by_address
+            has_room = known or len(self._by_address) < MAX_MEMBERS
+            if address and address != self.own.address and has_room:
                 self._by_address[address] = sighting
+
+
+def _patience(member: Member) -> float:
+    return ALIVE_WITHIN if member.leaving else FORGET_AFTER
