Put the last good value in force everywhere, and end signs of leaving in time

Ruled out: to take over a peer's refusal as our own, since an older program may refuse what a newer one accepts; wall-clock stamps on signs of leaving, since a VM with a fast clock would see each as ended; a health read as the sign that a searcher came back, since these mislead.

--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -12,6 +12,7 @@
 
 from basilwall.backend.connection import ConnectError, SearcherConnection
 from basilwall.parts.clock import Clock
+from basilwall.parts.departures import Departures
 from basilwall.parts.tasks import TaskGroup
 from basilwall.records.attempt import (
     Answered,
@@ -68,11 +69,13 @@
         address: SearcherAddress,
         connections: int,
         clock: Clock,
+        departures: Departures,
     ) -> None:
         self.address = address
         self.connections = connections
         self.in_flight = 0
         self._clock = clock
+        self._departures = departures
         self._latency = INITIAL_LATENCY
         self._backoff = FIRST_BACKOFF
         self._passed_over_until = clock.monotonic()
@@ -144,8 +147,11 @@
         except ConnectError as error:
             self._note_unreachable()
             return NotRun(self.address, OutcomeTag.NOT_SENT, str(error))
+        if self._departures.is_leaving(self.address):
+            return NotRun(self.address, OutcomeTag.NOT_SENT, 'leaving')
         job.sent_at = self._clock.monotonic()
         outcome = self._send(connection, job)
+        self._note_leaving(outcome)
         self._note_latency(job, outcome)
         return outcome
 
@@ -167,6 +173,11 @@
             connection.release()
             job.connection = None
 
+    def _note_leaving(self, outcome: AttemptOutcome) -> None:
+        drained = isinstance(outcome, Answered) and outcome.leaving
+        if drained or outcome.tag is OutcomeTag.LEAVING:
+            self._departures.mark(self.address)
+
     def _note_latency(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
         if job.cancelled:
             return
--- a/basilwall/backend/pools.py
+++ b/basilwall/backend/pools.py
@@ -85,6 +85,11 @@
             self.by_address = {}
 
     def _open(self, address: SearcherAddress, share: int) -> None:
-        pool = SearcherPool(address, share, self._clock)
+        pool = SearcherPool(
+            address,
+            share,
+            self._clock,
+            self._departures,
+        )
         self.by_address[address] = pool
         pool.start(self._tasks)
--- a/basilwall/caller/service.py
+++ b/basilwall/caller/service.py
@@ -113,7 +113,7 @@
 
     def ready(self) -> Reply:
         """Say whether the balancer may send callers here."""
-        if self.is_stopping or not self._state.document_by_service:
+        if self.is_stopping or not self._state.is_ready():
             return Reply(HTTPStatus.SERVICE_UNAVAILABLE, b'{"ready":false}')
         return Reply(HTTPStatus.OK, b'{"ready":true}')
 
--- a/basilwall/operators/reporting.py
+++ b/basilwall/operators/reporting.py
@@ -2,17 +2,12 @@
 
 from basilwall.caller.admission import Admission
 from basilwall.operators.metrics import Metrics
-from basilwall.operators.status import (
-    KeyStatus,
-    PlatformStatus,
-    StatusReport,
-    VmStatus,
-)
+from basilwall.operators.platform_reporting import PlatformReporter
+from basilwall.operators.status import StatusReport, VmStatus
 from basilwall.parts.departures import Departures
 from basilwall.parts.membership import Membership
 from basilwall.parts.quarantine import Quarantine
 from basilwall.parts.tickets import TicketTable
-from basilwall.platform.state import PlatformState
 
 
 class Reporter:
@@ -20,7 +15,7 @@
 
     def __init__(
         self,
-        state: PlatformState,
+        platform: PlatformReporter,
         membership: Membership,
         departures: Departures,
         quarantine: Quarantine,
@@ -28,7 +23,7 @@
         admission: Admission,
         table: TicketTable,
     ) -> None:
-        self._state = state
+        self._platform = platform
         self._membership = membership
         self._departures = departures
         self._quarantine = quarantine
@@ -40,15 +35,8 @@
         """Return the state as of now."""
         return StatusReport(
             vm=self._vm(),
-            platform=PlatformStatus(None, 0, 0),
-            values={
-                key: KeyStatus(
-                    one.revision,
-                    one.refused_revision,
-                    one.refusal,
-                )
-                for key, one in tuple(self._state.status_by_key.items())
-            },
+            platform=self._platform.platform(),
+            values=self._platform.values(),
             leaving_searchers=self._departures.ages(),
             quarantine={
                 entry.fingerprint: tuple(sorted(entry.strikes))
--- a/basilwall/operators/status.py
+++ b/basilwall/operators/status.py
@@ -27,11 +27,17 @@
 
 
 class PlatformStatus(msgspec.Struct, frozen=True):
-    """When the platform was last read; the age is in seconds."""
+    """When the platform was last read; the age is in seconds.
+
+    A `revision` of the platform below the `highest` in force says that it is
+    stale or was set back.
+    """
 
     age_s: float | None
     failures: int
     calls: int
+    revision: int = 0
+    highest: int = 0
 
 
 class StatusReport(msgspec.Struct, frozen=True):
--- a/basilwall/operators/table.py
+++ b/basilwall/operators/table.py
@@ -83,6 +83,8 @@
         ('peers heard from', ', '.join(vm.peers) or 'none'),
         ('platform read', read),
         ('platform failures in a row', platform.failures),
+        ('platform is at revision', platform.revision),
+        ('highest revision in force', platform.highest),
         ('extra load', f'{extra_load(report.counters):.2%}'),
     ]
 
--- a/basilwall/peer/facts.py
+++ b/basilwall/peer/facts.py
@@ -1,12 +1,25 @@
 """The facts that VMs tell each other, and how they are taken in.
 
 Every fact may be told twice, late or out of order: revisions only rise,
-strikes only add up, and signs of leaving carry their age.
+strikes only add up, and signs of leaving carry their age. What no VM of ours
+would say is counted, logged and passed over.
 """
 
-from basilwall.parts.departures import Departures
+import logging
+import random
+import re
+from collections.abc import Iterable, Iterator
+
+from basilwall.parts.departures import BELIEF, Departures, Sign
+from basilwall.parts.digests import (
+    Digest,
+    KeyDigest,
+    refusals_lacking,
+    values_lacking,
+)
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.quarantine import Quarantine
+from basilwall.parts.refusals import Refusal
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.peer.generated import peer_pb2
 from basilwall.records.catalogue import PublishedValue
@@ -21,6 +34,15 @@
 MILLISECONDS = 1000
 #: Most entries of one kind in one message.
 MAX_ENTRIES = 256
+#: Most members named in one message, drawn anew for each.
+MAX_MEMBERS = 16
+#: Longest name of anything but a key, in characters.
+MAX_NAME = 128
+#: Values in one message end at this size, in bytes; one always fits.
+MAX_VALUES_BYTES = 1_048_576
+_ADDRESS = re.compile(r'[0-9a-fA-F.:\[\]]{2,45}:\d{1,5}')
+
+_log = logging.getLogger(__name__)
 
 
 class Facts:
@@ -32,25 +54,23 @@
         departures: Departures,
         quarantine: Quarantine,
         membership: Membership,
+        source: random.Random,
     ) -> None:
         self.register = register
         self.departures = departures
         self.quarantine = quarantine
         self.membership = membership
+        self.malformed = 0
+        self._source = source
 
     def identity(self) -> peer_pb2.VmIdentity:
         """Return how this VM names itself."""
-        own = self.membership.own
-        return peer_pb2.VmIdentity(
-            address=own.address,
-            incarnation=own.incarnation,
-            zone=own.zone,
-            leaving=own.leaving,
-        )
+        return _identity(self.membership.own)
 
     def collect(
         self,
-        published: list[PublishedValue] | None = None,
+        published: Iterable[PublishedValue] = (),
+        refusals: dict[str, Refusal] | None = None,
     ) -> peer_pb2.Facts:
         """Return all short-lived facts, with the given values."""
         return peer_pb2.Facts(
@@ -60,19 +80,85 @@
                     revision=one.revision,
                     body=one.body,
                 )
-                for one in published or ()
+                for one in published
             ],
+            refused=[
+                peer_pb2.RefusedValue(
+                    key=key,
+                    revision=refusal.revision,
+                    reason=refusal.reason,
+                )
+                for key, refusal in (refusals or {}).items()
+            ][:MAX_ENTRIES],
             quarantine=self._quarantine(),
             leaving=self._leaving(),
             members=self._members(),
         )
 
-    def digest(self) -> list[peer_pb2.KeyRevision]:
-        """Return the revision held of each key."""
-        return [
-            peer_pb2.KeyRevision(key=key, revision=revision)
-            for key, revision in self.register.digest().items()
-        ]
+    def request(
+        self,
+        keys: Iterable[str] = (),
+        whole: bool = False,
+    ) -> peer_pb2.ExchangeRequest:
+        """Return the request of an exchange.
+
+        Args:
+            keys: Keys that just changed, whose digest goes along.
+            whole: True if the digest of all keys goes along.
+        """
+        digest = self.register.digest(None if whole else keys)
+        return peer_pb2.ExchangeRequest(
+            sender=self.identity(),
+            digest=[
+                peer_pb2.KeyRevision(
+                    key=key,
+                    revision=known.revision,
+                    refused=known.refused,
+                )
+                for key, known in digest.items()
+            ],
+            facts=self.collect(),
+            digest_hash=self.register.hash(),
+            whole=whole,
+        )
+
+    def answer(
+        self,
+        request: peer_pb2.ExchangeRequest,
+    ) -> peer_pb2.ExchangeReply:
+        """Take in a request and return what its sender lacks."""
+        self.take(request.sender, request.facts)
+        register = self.register
+        if not (request.whole or request.digest):
+            return peer_pb2.ExchangeReply(
+                sender=self.identity(),
+                facts=self.collect(),
+                differs=request.digest_hash != register.hash(),
+            )
+        digest = {
+            one.key: KeyDigest(one.revision, one.refused)
+            for one in request.digest
+        }
+        mine = register.digest(None if request.whole else digest)
+        newer = register.pick(values_lacking(mine, digest))
+        first = next(in_steps(newer), [])
+        return peer_pb2.ExchangeReply(
+            sender=self.identity(),
+            facts=self.collect(first, self._refusals(mine, digest)),
+            wanted=register.wanted_of(digest),
+            more=len(first) < len(newer),
+        )
+
+    def pushes(self, wanted: Iterable[str]) -> Iterator[peer_pb2.PushRequest]:
+        """Return messages with what is known of the wanted keys."""
+        keys = list(wanted)
+        refusals = self.register.refusals(keys)
+        steps = in_steps(self.register.pick(keys))
+        for values in (next(steps, []), *steps):
+            yield peer_pb2.PushRequest(
+                sender=self.identity(),
+                facts=self.collect(values, refusals),
+            )
 
     def take(
         self,
@@ -80,9 +166,11 @@
         facts: peer_pb2.Facts,
     ) -> None:
         """Take in what another VM told."""
-        self.membership.heard_from(_member(sender))
+        if self._is_sound(sender):
+            self.membership.heard_from(_member(sender))
         for member in facts.members:
-            self.membership.heard_of(_member(member))
+            if self._is_sound(member):
+                self.membership.heard_of(_member(member))
         for published in facts.published:
             self.register.offer(
                 PublishedValue(
@@ -91,14 +179,45 @@
                     published.body,
                 ),
             )
+        for refused in facts.refused:
+            refusal = Refusal(refused.revision, refused.reason[:MAX_ENTRIES])
+            self.register.note_refusal(refused.key, refusal)
         for entry in facts.quarantine:
             strikes = {SearcherAddress(address) for address in entry.strikes}
             self.quarantine.strike(Fingerprint(entry.fingerprint), strikes)
         for leaving in facts.leaving:
-            self.departures.mark(
-                SearcherAddress(leaving.address),
-                leaving.age_ms / MILLISECONDS,
-            )
+            self._take_leaving(leaving)
+
+    def _refusals(self, mine: Digest, theirs: Digest) -> dict[str, Refusal]:
+        return self.register.refusals(refusals_lacking(mine, theirs))
+
+    def _take_leaving(self, leaving: peer_pb2.LeavingSearcher) -> None:
+        age = leaving.age_ms / MILLISECONDS
+        known = _ADDRESS.fullmatch(leaving.address) and age < BELIEF
+        if not known or len(leaving.observer) > MAX_NAME:
+            self._note_malformed('sign of leaving', leaving.address)
+            return
+        seen_at = self.departures.now() - age
+        self.departures.take(
+            SearcherAddress(leaving.address),
+            Sign(
+                Incarnation(leaving.observer),
+                leaving.number,
+                seen_at,
+                leaving.ended,
+            ),
+        )
+
+    def _is_sound(self, identity: peer_pb2.VmIdentity) -> bool:
+        longest = max(len(identity.incarnation), len(identity.zone))
+        if _ADDRESS.fullmatch(identity.address) and longest <= MAX_NAME:
+            return True
+        self._note_malformed('identity', identity.address)
+        return False
+
+    def _note_malformed(self, kind: str, name: str) -> None:
+        self.malformed += 1
+        _log.warning('malformed %s', kind, extra={'named': name[:MAX_NAME]})
 
     def _quarantine(self) -> list[peer_pb2.QuarantineEntry]:
         return [
@@ -110,24 +229,48 @@
         ]
 
     def _leaving(self) -> list[peer_pb2.LeavingSearcher]:
+        now = self.departures.now()
         return [
             peer_pb2.LeavingSearcher(
                 address=address,
-                age_ms=int(age * MILLISECONDS),
+                age_ms=int((now - sign.seen_at) * MILLISECONDS),
+                observer=sign.observer,
+                number=sign.number,
+                ended=sign.ended,
             )
-            for address, age in self.departures.ages().items()
-        ][:MAX_ENTRIES]
+            for address, sign in self.departures.signs()[:MAX_ENTRIES]
+        ]
 
     def _members(self) -> list[peer_pb2.VmIdentity]:
-        return [
-            peer_pb2.VmIdentity(
-                address=member.address,
-                incarnation=member.incarnation,
-                zone=member.zone,
-                leaving=member.leaving,
-            )
-            for member in self.membership.alive()[:MAX_ENTRIES]
-        ]
+        alive = self.membership.alive()
+        if len(alive) > MAX_MEMBERS:
+            alive = self._source.sample(alive, MAX_MEMBERS)
+        return [_identity(member) for member in alive]
+
+
+def in_steps(
+    values: Iterable[PublishedValue],
+) -> Iterator[list[PublishedValue]]:
+    """Split values into lists that each fit into one message."""
+    step: list[PublishedValue] = []
+    size = 0
+    for published in values:
+        if step and size + len(published.body) > MAX_VALUES_BYTES:
+            yield step
+            step, size = [], 0
+        step.append(published)
+        size += len(published.body)
+    if step:
+        yield step
+
+
+def _identity(member: Member) -> peer_pb2.VmIdentity:
+    return peer_pb2.VmIdentity(
+        address=member.address,
+        incarnation=member.incarnation,
+        zone=member.zone,
+        leaving=member.leaving,
+    )
 
 
 def _member(identity: peer_pb2.VmIdentity) -> Member:
--- a/basilwall/peer/links.py
+++ b/basilwall/peer/links.py
@@ -1,14 +1,21 @@
 """One task for each peer: it compares notes with that peer each second.
 
 A fresh fact wakes all links, so that it travels at once; the exchange each
-second repairs whatever a lost message left out.
+second repairs whatever a lost message left out. Hashes are compared first, so
+an exchange between VMs that know the same costs a few hundred bytes however
+many keys there are.
+
+A small fleet is linked each to each. In a large one a VM keeps a few partners
+drawn at random, and draws others in place of those that don't answer.
 """
 
 import logging
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from itertools import islice
 
 from basilwall.parts.tasks import TaskGroup
 from basilwall.peer.client import PeerClients, PeerError, call
@@ -21,16 +28,28 @@
 LEAST_JITTER = 0.8
 MOST_JITTER = 1.2
 CALL_TIMEOUT = 2.0
-#: Peers talked to at once; of a larger fleet a random choice is made.
+#: Up to this many peers are all linked; of more a few partners are drawn.
 MAX_LINKS = 17
+PARTNERS = 4
+#: In a large fleet one partner is replaced this often, in follow-ups.
+FOLLOW_UPS_A_PARTNER = 30
+#: Most steps in which one exchange takes in what this VM lacks.
+MAX_STEPS = 64
 
 _log = logging.getLogger(__name__)
 
 
+def _tell_nobody(_: float) -> None:
+    """Pass over that a peer was asked."""
+
+
 @dataclass(slots=True, eq=False)
 class _Link:
     address: VmAddress
     wake: threading.Event = field(default_factory=threading.Event)
+    fresh_keys: set[str] = field(default_factory=set)
+    tried: bool = False
+    answered: bool = True
     ended: bool = False
 
 
@@ -43,81 +62,127 @@
         clients: PeerClients,
         tasks: TaskGroup,
         source: random.Random,
+        note_read: Callable[[float], None] = _tell_nobody,
     ) -> None:
         self._facts = facts
         self._clients = clients
         self._tasks = tasks
         self._source = source
+        self._note_read = note_read
         self._link_by_address: dict[VmAddress, _Link] = {}
+        self._changed = threading.Event()
+        self._follow_ups = 0
 
     def run(self) -> None:
         """Keep the links in step with the membership until stopped."""
         stopping = self._tasks.stopping
         while not stopping.is_set():
+            self._changed.clear()
             self._follow()
-            stopping.wait(INTERVAL)
+            self._changed.wait(INTERVAL)
         self.wake()
 
-    def wake(self) -> None:
-        """Make every link exchange at once."""
+    def follow(self) -> None:
+        """Bring the links in step with the membership at once."""
+        self._changed.set()
+
+    def wake(self, key: str = '') -> None:
+        """Make every link exchange at once, with news of `key` if given."""
         for link in tuple(self._link_by_address.values()):
+            if key:
+                link.fresh_keys.add(key)
             link.wake.set()
 
-    def exchange(self, address: VmAddress) -> bool:
+    def is_settled(self) -> bool:
+        """Return whether all peers to be linked were asked once."""
+        links = tuple(self._link_by_address.values())
+        peers = self._facts.membership.peers()
+        count = len(peers) if len(peers) <= MAX_LINKS else PARTNERS
+        return len(links) >= count and all(link.tried for link in links)
+
+    def exchange(self, address: VmAddress, keys: tuple[str, ...] = ()) -> bool:
         """Compare notes with one peer.
 
         Args:
             address: The peer.
+            keys: Keys that just changed here; told ahead of all others.
 
         Returns:
             True if the peer answered.
         """
-        stub = self._clients.stub(address)
-        facts = self._facts
-        request = peer_pb2.ExchangeRequest(
-            sender=facts.identity(),
-            digest=facts.digest(),
-            facts=facts.collect(),
-        )
+        began_at = self._facts.departures.now()
         try:
-            reply = call(lambda: stub.Exchange(request, timeout=CALL_TIMEOUT))
-        except PeerError:
+            reply = self._ask(address, self._facts.request(keys))
+            if reply.differs:
+                self._exchange_whole(address)
+        except PeerError as error:
+            _log.info('peer not reached', extra={'error': str(error)})
             return False
-        facts.take(reply.sender, reply.facts)
-        if reply.wanted:
-            self._push(address, list(reply.wanted))
+        self._note_read(began_at)
         return True
 
-    def _push(self, address: VmAddress, wanted: list[str]) -> None:
+    def _exchange_whole(self, address: VmAddress) -> None:
+        for _ in range(MAX_STEPS):
+            reply = self._ask(address, self._facts.request(whole=True))
+            if not reply.more:
+                return
+
+    def _ask(
+        self,
+        address: VmAddress,
+        request: peer_pb2.ExchangeRequest,
+    ) -> peer_pb2.ExchangeReply:
         stub = self._clients.stub(address)
-        request = peer_pb2.PushRequest(
-            sender=self._facts.identity(),
-            facts=self._facts.collect(self._facts.register.pick(wanted)),
+        reply: peer_pb2.ExchangeReply = call(
+            partial(stub.Exchange, request, timeout=CALL_TIMEOUT),
         )
-        try:
-            call(lambda: stub.Push(request, timeout=CALL_TIMEOUT))
-        except PeerError as error:
-            _log.info('push lost', extra={'error': str(error)})
+        self._facts.take(reply.sender, reply.facts)
+        if reply.wanted:
+            for push in self._facts.pushes(reply.wanted):
+                call(partial(stub.Push, push, timeout=CALL_TIMEOUT))
+        return reply
 
     def _follow(self) -> None:
-        wanted = self._facts.membership.peers()
-        if len(wanted) > MAX_LINKS:
-            wanted = self._source.sample(wanted, MAX_LINKS)
-        for address in self._link_by_address.keys() - set(wanted):
+        wanted = self._wanted()
+        for address in self._link_by_address.keys() - wanted:
             link = self._link_by_address.pop(address)
             link.ended = True
             link.wake.set()
-        for address in set(wanted) - self._link_by_address.keys():
+        for address in wanted - self._link_by_address.keys():
             link = _Link(address)
             self._link_by_address[address] = link
             self._tasks.start(partial(self._serve, link))
 
+    def _wanted(self) -> set[VmAddress]:
+        peers = self._facts.membership.peers()
+        if len(peers) <= MAX_LINKS:
+            return set(peers)
+        kept = [
+            link.address
+            for link in self._link_by_address.values()
+            if link.answered and link.address in peers
+        ]
+        self._follow_ups += 1
+        if self._follow_ups % FOLLOW_UPS_A_PARTNER == 0:
+            kept = kept[1:]
+        drawn = self._source.sample(peers, PARTNERS * 2)
+        others = (address for address in drawn if address not in kept)
+        return {*kept[:PARTNERS], *islice(others, max(PARTNERS - len(kept), 0))}
+
     def _pause(self) -> float:
         return INTERVAL * self._source.uniform(LEAST_JITTER, MOST_JITTER)
 
     def _serve(self, link: _Link) -> None:
         while not (link.ended or self._tasks.stopping.is_set()):
             link.wake.clear()
-            self.exchange(link.address)
+            link.answered = self.exchange(link.address, _taken(link))
+            link.tried = True
             link.wake.wait(self._pause())
         self._clients.drop(link.address)
+
+
+def _taken(link: _Link) -> tuple[str, ...]:
+    keys: list[str] = []
+    while link.fresh_keys:
+        keys.append(link.fresh_keys.pop())
+    return tuple(keys)
--- a/basilwall/peer/server.py
+++ b/basilwall/peer/server.py
@@ -42,14 +42,7 @@
         context: grpc.ServicerContext,
     ) -> peer_pb2.ExchangeReply:
         """Take in what the caller knows and return what it lacks."""
-        self._facts.take(request.sender, request.facts)
-        digest = {one.key: one.revision for one in request.digest}
-        register = self._facts.register
-        return peer_pb2.ExchangeReply(
-            sender=self._facts.identity(),
-            facts=self._facts.collect(register.newer_than(digest)),
-            wanted=register.older_than(digest),
-        )
+        return self._facts.answer(request)
 
     def Push(  # noqa: N802
         self,
--- /dev/null
+++ b/basilwall/platform/readers.py
@@ -0,0 +1,46 @@
+"""Which VMs read the platform, once the fleet is too large for all to do so.
+
+The platform counts each call, a waiting watch as one, and a change ends all
+watches at once. So in a large fleet a few VMs of each availability zone read,
+and the others learn from their peers. Rendezvous hashing over the fleet list
+chooses them: each VM finds out by itself, and a VM that goes changes only its
+own place. Lists that lag choose a few too many or too few, which does no harm.
+"""
+
+import hashlib
+
+from basilwall.parts.membership import Member
+from basilwall.records.catalogue import FleetList, VmState
+from basilwall.records.ids import VmAddress
+
+#: Up to this many live VMs all read.
+ALL_READ_UP_TO = 64
+READERS_A_ZONE = 4
+
+
+def is_chosen(own: Member, fleet: FleetList) -> bool:
+    """Return whether a VM is to read the platform.
+
+    Args:
+        own: The VM that asks.
+        fleet: The fleet list in force.
+
+    Returns:
+        True also for a VM that the list doesn't name.
+    """
+    live = [vm for vm in fleet.vms if vm.state is VmState.LIVE]
+    if len(live) <= ALL_READ_UP_TO:
+        return True
+    places = [vm for vm in live if vm.address == own.address]
+    if not places:
+        return True
+    zone = places[0].zone
+    neighbours = sorted(
+        (vm.address for vm in live if vm.zone == zone),
+        key=_weight,
+    )
+    return own.address in neighbours[:READERS_A_ZONE]
+
+
+def _weight(address: VmAddress) -> bytes:
+    return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- a/basilwall/platform/state.py
+++ b/basilwall/platform/state.py
@@ -1,33 +1,41 @@
 """What is in force now: documents, catalogue entries and the fleet list.
 
-Each is decoded once, when its value arrives. A value that does not pass its
-check is not accepted: the last good one stays in force, and operators see
-the reason.
+Each is checked and decoded once, when its value arrives. A value that does not
+pass its check changes nothing here. An empty value is that of a removed key.
 """
 
-import logging
-from dataclasses import dataclass
+from collections.abc import Callable
 
 import msgspec
 
 from basilwall.checking.reader import CheckError, read_checked
-from basilwall.document.keys import CATALOGUES, DOCUMENTS, FLEET
+from basilwall.document.keys import (
+    CATALOGUES,
+    DOCUMENTS,
+    FLEET,
+    catalogue_key,
+    document_key,
+)
 from basilwall.document.model import Document
 from basilwall.records.catalogue import Catalogue, FleetList, PublishedValue
 from basilwall.records.ids import ServiceName
 
-_log = logging.getLogger(__name__)
 _catalogue_decoder = msgspec.json.Decoder(Catalogue)
 _fleet_decoder = msgspec.json.Decoder(FleetList)
 
 
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """A value in force with its revision."""
+class RefusedValueError(Exception):
+    """A value that can be read but contradicts its key or itself."""
 
-    revision: int
-    refused_revision: int = 0
-    refusal: str = ''
+
+#: What the readers of values raise; very deep or very long numbers included.
+_REFUSALS = (
+    RefusedValueError,
+    CheckError,
+    msgspec.MsgspecError,
+    ValueError,
+    RecursionError,
+)
 
 
 class PlatformState:
@@ -37,30 +45,76 @@
         self.document_by_service: dict[ServiceName, Document] = {}
         self.catalogue_by_service: dict[ServiceName, Catalogue] = {}
         self.fleet = FleetList()
-        self.status_by_key: dict[str, InForce] = {}
+        #: False until this VM has asked the platform or its peers for all.
+        self.is_settled = False
+        self._revision_by_key: dict[str, int] = {}
+
+    def accept(self, published: PublishedValue) -> str:
+        """Check a value and put it in force.
 
-    def accept(self, published: PublishedValue) -> None:
-        """Put a value in force, or note why it is refused."""
-        former = self.status_by_key.get(published.key, InForce(0))
+        Args:
+            published: The value; one older than that in force has no effect.
+
+        Returns:
+            The reason if the value is refused, else an empty text.
+        """
+        key, revision = published.key, published.revision
+        if revision <= self._revision_by_key.get(key, 0):
+            return ''
         try:
-            self._decode(published)
-        except (CheckError, msgspec.DecodeError, UnicodeDecodeError) as error:
-            _log.warning('value refused', extra={'key': published.key})
-            self.status_by_key[published.key] = InForce(
-                former.revision,
-                published.revision,
-                str(error),
-            )
+            self._put(published)
+        except _REFUSALS as error:
+            return str(error) or type(error).__name__
+        self._revision_by_key[key] = revision
+        return ''
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be served from what is in force."""
+        whole = self.document_by_service.keys() & self.catalogue_by_service
+        return self.is_settled and bool(whole)
+
+    def _put(self, published: PublishedValue) -> None:
+        for prefix, put in self._put_by_prefix().items():
+            if published.key.startswith(prefix):
+                put(published)
+
+    def _put_by_prefix(self) -> dict[str, Callable[[PublishedValue], None]]:
+        return {
+            DOCUMENTS: self._put_document,
+            CATALOGUES: self._put_catalogue,
+            FLEET: self._put_fleet,
+        }
+
+    def _put_document(self, published: PublishedValue) -> None:
+        key, body = published.key, published.body
+        service = ServiceName(key.removeprefix(DOCUMENTS))
+        if not body:
+            self.document_by_service.pop(service, None)
             return
-        self.status_by_key[published.key] = InForce(published.revision)
+        document = read_checked(body.decode(), key, Document)
+        if document_key(document.service) != key:
+            raise RefusedValueError(_misplaced(key, document.service))
+        self.document_by_service[service] = document
 
-    def _decode(self, published: PublishedValue) -> None:
+    def _put_catalogue(self, published: PublishedValue) -> None:
         key, body = published.key, published.body
-        if key == FLEET:
-            self.fleet = _fleet_decoder.decode(body)
-        elif key.startswith(DOCUMENTS):
-            document = read_checked(body.decode(), key, Document)
-            self.document_by_service[document.service] = document
-        elif key.startswith(CATALOGUES):
-            catalogue = _catalogue_decoder.decode(body)
-            self.catalogue_by_service[catalogue.service] = catalogue
+        service = ServiceName(key.removeprefix(CATALOGUES))
+        if not body:
+            self.catalogue_by_service.pop(service, None)
+            return
+        catalogue = _catalogue_decoder.decode(body)
+        if catalogue_key(catalogue.service) != key:
+            raise RefusedValueError(_misplaced(key, catalogue.service))
+        if min(catalogue.slots, catalogue.connections) < 1:
+            raise RefusedValueError(
+                f'{key}: slots and connections count from 1'
+            )
+        self.catalogue_by_service[service] = catalogue
+
+    def _put_fleet(self, published: PublishedValue) -> None:
+        if published.key == FLEET:
+            self.fleet = _fleet_decoder.decode(published.body)
+
+
+def _misplaced(key: str, service: ServiceName) -> str:
+    return f'{key}: its field `service` names another service, "{service}"'
--- /dev/null
+++ b/basilwall/platform/state_test.py
@@ -0,0 +1,70 @@
+"""What is put in force and what is refused."""
+
+import json
+
+import pytest
+
+from basilwall.document.keys import FLEET, catalogue_key, document_key
+from basilwall.platform.state import PlatformState
+from basilwall.records.catalogue import PublishedValue
+
+DOCUMENT = document_key('one')
+CATALOGUE = catalogue_key('one')
+GOOD = b'{"service": "one", "deadline_ms": 70}'
+GOOD_CATALOGUE = b'{"service": "one", "snapshots": []}'
+
+
+def accept(state, key, revision, body):
+    return state.accept(PublishedValue(key, revision, body))
+
+
+@pytest.mark.parametrize(
+    ('key', 'body'),
+    [
+        (DOCUMENT, b'{'),
+        (DOCUMENT, b'\xff'),
+        (DOCUMENT, b'{"service": "another"}'),
+        (DOCUMENT, b'{"service": "one", "deadline_ms": %s}' % (b'9' * 5000)),
+        (DOCUMENT, b'[' * 100_000),
+        (CATALOGUE, b'{"service": "another", "snapshots": []}'),
+        (CATALOGUE, b'{"service": "one", "snapshots": [], "slots": 0}'),
+        (CATALOGUE, b'[' * 100_000),
+        (FLEET, b''),
+        (FLEET, b'{"vms": 3}'),
+    ],
+)
+def test_a_bad_value_is_refused_with_a_reason(key, body):
+    state = PlatformState()
+    assert not accept(state, DOCUMENT, 1, GOOD)
+    accept(state, CATALOGUE, 2, GOOD_CATALOGUE)
+    assert accept(state, key, 3, body)
+    assert state.document_by_service['one'].deadline_ms == 70
+    assert set(state.document_by_service) == {'one'}
+    assert set(state.catalogue_by_service) == {'one'}
+
+
+def test_an_older_value_has_no_effect():
+    state = PlatformState()
+    accept(state, DOCUMENT, 5, GOOD)
+    accept(state, DOCUMENT, 4, json.dumps({'service': 'one'}).encode())
+    assert state.document_by_service['one'].deadline_ms == 70
+
+
+def test_a_removed_key_stays_removed():
+    state = PlatformState()
+    accept(state, DOCUMENT, 5, GOOD)
+    accept(state, DOCUMENT, 6, b'')
+    accept(state, DOCUMENT, 5, GOOD)
+    accept(state, 'basilwall/later/thing', 7, b'anything')
+    assert not state.document_by_service
+
+
+def test_ready_needs_a_settled_vm_with_a_whole_service():
+    state = PlatformState()
+    accept(state, DOCUMENT, 1, GOOD)
+    state.is_settled = True
+    assert not state.is_ready()
+    accept(state, CATALOGUE, 2, GOOD_CATALOGUE)
+    assert state.is_ready()
+    state.is_settled = False
+    assert not state.is_ready()
--- a/basilwall/platform/watching.py
+++ b/basilwall/platform/watching.py
@@ -1,17 +1,20 @@
-"""The task that watches the platform and feeds the register of revisions.
+"""The tasks that watch the platform and feed the register of revisions.
 
-A platform that is down is asked again after a pause with jitter; what was
+Each address of the platform has a task and a cursor of its own: a reader that
+is behind then neither hides what another one knows nor holds up its news. A
+platform that is down is asked again after a pause with jitter; what was
 learned before stays in force for as long as it takes.
 """
 
 import logging
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from basilwall.parts.clock import Clock
 from basilwall.parts.revisions import RevisionRegister
-from basilwall.platform.client import PlatformError, PlatformReader
+from basilwall.platform.client import PlatformError, PlatformReader, WatchReply
 
 #: Pause after a failed watch, doubled up to the highest, in seconds.
 FIRST_PAUSE = 0.2
@@ -20,34 +23,53 @@
 MOST_JITTER = 1.5
 #: Least time between two watches that returned values, in seconds.
 LEAST_GAP = 0.05
+#: Time after which a VM that does not read asks again if it is to, in seconds.
+IDLE_PAUSE = 1.0
 
 _log = logging.getLogger(__name__)
 
 
 @dataclass(slots=True)
 class PlatformHealth:
-    """What is known of the platform, for operators and for pauses."""
+    """What is known of the platform, for operators and for pauses.
+
+    `revision` is the highest that a reader returned last; a platform whose
+    revision is below that of the register is stale or was set back.
+    """
 
     last_read_at: float | None = None
     failures: int = 0
     calls: int = 0
+    revision: int = 0
     first_read: threading.Event = field(default_factory=threading.Event)
 
 
+def _always() -> bool:
+    return True
+
+
+def _tell_nobody(_: float) -> None:
+    """Pass over that the platform was read."""
+
+
 class PlatformWatch:
-    """Reads the platform for as long as the process lives."""
+    """Reads one address of the platform for as long as the process lives."""
 
     def __init__(
         self,
-        readers: list[PlatformReader],
+        reader: PlatformReader,
         register: RevisionRegister,
         clock: Clock,
         source: random.Random,
+        is_reader: Callable[[], bool] = _always,
+        note_read: Callable[[float], None] = _tell_nobody,
     ) -> None:
-        self._readers = readers
+        self._reader = reader
         self._register = register
         self._clock = clock
         self._source = source
+        self._is_reader = is_reader
+        self._note_read = note_read
         self._after = 0
         self.health = PlatformHealth()
 
@@ -55,28 +77,61 @@
         """Watch until `stopping` is set."""
         pause = FIRST_PAUSE
         while not stopping.is_set():
-            reader = self._readers[self.health.calls % len(self._readers)]
-            if self._read(reader):
-                pause = FIRST_PAUSE
-                stopping.wait(LEAST_GAP)
-                continue
-            stopping.wait(
-                pause * self._source.uniform(LEAST_JITTER, MOST_JITTER)
-            )
-            pause = min(pause * 2, HIGHEST_PAUSE)
-
-    def _read(self, reader: PlatformReader) -> bool:
-        self.health.calls += 1
+            if self._is_reader():
+                pause = self._read_and_wait(pause, stopping)
+            else:
+                stopping.wait(IDLE_PAUSE)
+
+    def read(self) -> bool:
+        """Make one call and take in what it returns.
+
+        Returns:
+            True if the platform answered.
+        """
+        health = self.health
+        health.calls += 1
+        began_at = self._clock.monotonic()
         try:
-            reply = reader.watch(self._after)
+            reply = self._reader.watch(self._after)
         except PlatformError as error:
-            self.health.failures += 1
+            health.failures += 1
             _log.warning('platform not read', extra={'error': str(error)})
             return False
+        self._take(reply)
+        health.failures = 0
+        health.last_read_at = self._clock.monotonic()
+        health.first_read.set()
+        self._note_read(began_at)
+        return True
+
+    def _read_and_wait(
+        self,
+        pause: float,
+        stopping: threading.Event,
+    ) -> float:
+        if self.read():
+            stopping.wait(LEAST_GAP)
+            return FIRST_PAUSE
+        jitter = self._source.uniform(LEAST_JITTER, MOST_JITTER)
+        stopping.wait(pause * jitter)
+        return min(pause * 2, HIGHEST_PAUSE)
+
+    def _take(self, reply: WatchReply) -> None:
         for published in reply.values:
             self._register.offer(published)
-        self._after = max(self._after, reply.revision)
-        self.health.failures = 0
-        self.health.last_read_at = self._clock.monotonic()
-        self.health.first_read.set()
-        return True
+        # The cursor follows its reader, also down after a restart of it: what
+        # it says again is not new to the register.
+        self._after = max(reply.revision, 0)
+        self.health.revision = self._after
+
+
+def whole_health(watches: list[PlatformWatch]) -> PlatformHealth:
+    """Return the health of all addresses together, the best of each."""
+    healths = [watch.health for watch in watches]
+    reads = [one.last_read_at for one in healths]
+    return PlatformHealth(
+        max((read for read in reads if read is not None), default=None),
+        min(one.failures for one in healths),
+        sum(one.calls for one in healths),
+        max(one.revision for one in healths),
+    )
--- /dev/null
+++ b/basilwall/platform/watching_test.py
@@ -0,0 +1,138 @@
+"""Reading the platform: cursors, outages, and who reads."""
+
+import random
+import threading
+import time
+
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.membership import Member
+from basilwall.parts.revisions import RevisionRegister
+from basilwall.platform.client import PlatformError, WatchReply
+from basilwall.platform.readers import READERS_A_ZONE, is_chosen
+from basilwall.platform.settling import settle
+from basilwall.platform.state import PlatformState
+from basilwall.platform.watching import PlatformWatch, whole_health
+from basilwall.records.catalogue import FleetList, FleetVm, PublishedValue
+
+
+class Reader:
+    """An address of the platform with a fixed list of replies."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.asked = []
+
+    def watch(self, after):
+        self.asked.append(after)
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def reply(*revisions, key='k'):
+    values = [PublishedValue(key, one, b'%d' % one) for one in revisions]
+    return WatchReply(max(revisions, default=0), tuple(values))
+
+
+def make(register, *replies, **options):
+    reader = Reader(*replies)
+    watch = PlatformWatch(
+        reader,
+        register,
+        ManualClock(),
+        random.Random(1),
+        **options,
+    )
+    return reader, watch
+
+
+def test_a_reader_that_is_behind_hides_and_reverts_nothing():
+    register = RevisionRegister()
+    _, ahead = make(register, reply(9), reply(10))
+    behind_reader, behind = make(register, reply(4), reply(7, key='other'))
+    for watch in (ahead, behind, ahead, behind):
+        assert watch.read()
+    assert behind_reader.asked == [0, 4]
+    held = {key: one.revision for key, one in register.digest().items()}
+    assert held == {'k': 10, 'other': 7}
+
+
+def test_the_cursor_follows_a_platform_that_was_set_back():
+    register = RevisionRegister()
+    reader, watch = make(register, reply(9), reply(3), PlatformError('down'))
+    assert [watch.read() for _ in range(3)] == [True, True, False]
+    assert reader.asked == [0, 9, 3]
+    assert register.digest()['k'].revision == 9
+    health = whole_health([watch])
+    assert (health.revision, health.failures, health.calls) == (3, 1, 3)
+
+
+def test_a_vm_that_is_not_to_read_makes_no_call():
+    asked, stopping = [], threading.Event()
+
+    def is_reader():
+        asked.append(1)
+        stopping.set()
+        return False
+
+    reader, watch = make(RevisionRegister(), is_reader=is_reader)
+    watch.run(stopping)
+    assert asked
+    assert not reader.asked
+
+
+def fleet(count, zones):
+    return FleetList(
+        tuple(
+            FleetVm(f'10.0.0.1:{number}', zone=f'zone-{number % zones}')
+            for number in range(count)
+        ),
+    )
+
+
+def chosen(of):
+    return {vm.address for vm in of.vms if is_chosen(Member(vm.address), of)}
+
+
+def test_all_of_a_small_fleet_read_and_a_few_of_each_zone_in_a_large_one():
+    assert len(chosen(fleet(9, 3))) == 9
+    large = fleet(1900, 15)
+    readers = chosen(large)
+    assert len(readers) == 15 * READERS_A_ZONE
+    assert is_chosen(Member('10.9.9.9:1'), large)
+    gone = min(readers)
+    left = FleetList(tuple(vm for vm in large.vms if vm.address != gone))
+    assert len(chosen(left) - readers) == 1
+
+
+def test_a_vm_settles_only_after_its_peers_were_asked():
+    state, read, stopping = (
+        PlatformState(),
+        threading.Event(),
+        threading.Event(),
+    )
+    read.set()
+    asked = []
+
+    def peers_asked():
+        asked.append(state.is_settled)
+        return len(asked) == 3
+
+    settle(state, peers_asked, [read], stopping)
+    assert asked == [False, False, False]
+    assert state.is_settled
+
+
+def test_a_vm_settles_without_the_platform_once_a_fleet_is_known():
+    state, stopping = PlatformState(), threading.Event()
+    started = threading.Thread(
+        target=settle,
+        args=(state, lambda: True, [threading.Event()], stopping),
+    )
+    started.start()
+    time.sleep(1.3)
+    assert not state.is_settled
+    state.fleet = fleet(2, 1)
+    started.join(timeout=5)
+    assert state.is_settled
--- a/basilwall/query/runner.py
+++ b/basilwall/query/runner.py
@@ -3,7 +3,6 @@
 from basilwall.backend.pools import SearcherPools
 from basilwall.document.model import Document
 from basilwall.parts.clock import Clock
-from basilwall.parts.departures import Departures
 from basilwall.platform.state import PlatformState
 from basilwall.query.policy import Policies
 from basilwall.query.progress import Gathered, Query
@@ -23,13 +22,11 @@
         state: PlatformState,
         pools: SearcherPools,
         policies: Policies,
-        departures: Departures,
         clock: Clock,
     ) -> None:
         self._state = state
         self._pools = pools
         self._policies = policies
-        self._departures = departures
         self._clock = clock
 
     def run(self, query: Query, document: Document) -> QueryAnswer | Refusal:
@@ -55,7 +52,6 @@
             snapshot,
             policy,
             self._pools,
-            self._departures,
             self._clock,
         )
         return _judge(query, snapshot, document, scatter.run())
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -11,7 +11,6 @@
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.parts.clock import Clock
-from basilwall.parts.departures import Departures
 from basilwall.query.policy import ServicePolicy
 from basilwall.query.progress import Gathered, PartProgress, Query, gather
 from basilwall.records.answer import MissingReason
@@ -39,14 +38,12 @@
         snapshot: Snapshot,
         policy: ServicePolicy,
         pools: SearcherPools,
-        departures: Departures,
         clock: Clock,
     ) -> None:
         self._query = query
         self._snapshot = snapshot
         self._policy = policy
         self._pools = pools
-        self._departures = departures
         self._clock = clock
         self._inbox: queue.SimpleQueue[_Event] = queue.SimpleQueue()
         self._progress_by_job: dict[AttemptJob, PartProgress] = {}
@@ -151,8 +148,6 @@
         job: AttemptJob,
         answer: Answered,
     ) -> None:
-        if answer.leaving:
-            self._departures.mark(answer.searcher)
         self._policy.hedge.observe(self._clock.monotonic() - job.sent_at)
         if answer.snapshot != self._snapshot.snapshot_id:
             progress.reason = MissingReason.WRONG_SNAPSHOT
--- a/basilwall/settings/model.py
+++ b/basilwall/settings/model.py
@@ -46,6 +46,8 @@
     peer_address: Address
     #: One or more base addresses of the platform's configuration service.
     platform_addresses: Annotated[list[Address], Field(min_length=1)]
+    #: Peer addresses of VMs to ask while no fleet list is known.
+    seeds: list[Address] = []
     zone: Zone
     region: Region
     #: A file that holds the key of tickets, the same on all VMs.
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
+from functools import partial
 
 from statsd import StatsClient
 
@@ -20,6 +21,7 @@
 from basilwall.caller.service import CallerService
 from basilwall.document.keys import CATALOGUES, FLEET, PREFIX
 from basilwall.operators.metrics import Metrics
+from basilwall.operators.platform_reporting import PlatformReporter
 from basilwall.operators.reporting import Reporter
 from basilwall.order.desk import OrderDesk
 from basilwall.order.dispatch import OrderDispatcher
@@ -27,6 +29,7 @@
 from basilwall.parts.departures import Departures
 from basilwall.parts.handovers import Handovers
 from basilwall.parts.membership import Member, Membership
+from basilwall.parts.pauses import PauseWatch
 from basilwall.parts.quarantine import Quarantine
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.parts.tasks import TaskGroup, task_group
@@ -37,12 +40,14 @@
 from basilwall.peer.links import PeerLinks
 from basilwall.peer.server import PeerService, peer_server
 from basilwall.platform.client import HttpPlatform
+from basilwall.platform.readers import is_chosen
+from basilwall.platform.settling import settle
 from basilwall.platform.state import PlatformState
 from basilwall.platform.watching import PlatformWatch
 from basilwall.query.policy import Policies
 from basilwall.query.runner import QueryRunner
-from basilwall.records.catalogue import PublishedValue, VmState
-from basilwall.records.ids import Incarnation
+from basilwall.records.catalogue import Catalogue, PublishedValue, VmState
+from basilwall.records.ids import Incarnation, ServiceName, VmAddress
 from basilwall.settings.model import Settings
 
 MIN_KEY_BYTES = 16
@@ -68,6 +73,8 @@
     handovers: Handovers
     metrics: Metrics
     admission: Admission
+    pauses: PauseWatch
+    watches: list[PlatformWatch]
 
 
 class Vm:
@@ -146,13 +153,20 @@
             core.departures,
             core.quarantine,
             core.membership,
+            source,
+        )
+        links = PeerLinks(
+            facts,
+            clients,
+            tasks,
+            source,
+            core.pauses.note_read,
         )
-        links = PeerLinks(facts, clients, tasks, source)
         _follow_register(core, pools, links)
         peers = PeerService(facts, desk, core.handovers, core.clock)
         stack.enter_context(peer_server(peers, settings.peer_address))
-        _start_watch(core, tasks, source)
         tasks.start(links.run)
+        _start_watches(core, tasks, links)
         server = stack.enter_context(
             caller_server(CallerApp(service), _listening(settings)),
         )
@@ -162,22 +176,43 @@
 
 def _core(settings: Settings) -> Core:
     clock = SystemClock()
+    state = PlatformState()
+    register = RevisionRegister(state.accept)
+    pauses = PauseWatch(clock)
     own = Member(
         settings.vm,
         Incarnation(uuid.uuid4().hex),
         settings.zone,
     )
+    seeds = [VmAddress(address) for address in settings.seeds]
+    membership = Membership(own, clock, seeds)
+
+    def is_reader() -> bool:
+        return is_chosen(own, state.fleet) or not membership.alive()
+
     return Core(
         settings=settings,
         clock=clock,
-        state=PlatformState(),
-        register=RevisionRegister(),
-        departures=Departures(clock),
+        state=state,
+        register=register,
+        departures=Departures(clock, own.incarnation),
         quarantine=Quarantine(clock, settings.limits.quarantine_entries),
-        membership=Membership(own, clock),
+        membership=membership,
         handovers=Handovers(clock),
         metrics=Metrics(_statsd(settings)),
         admission=Admission(settings.limits.requests_in_flight),
+        pauses=pauses,
+        watches=[
+            PlatformWatch(
+                HttpPlatform(address, PREFIX),
+                register,
+                clock,
+                random.Random(),
+                is_reader,
+                pauses.note_read,
+            )
+            for address in settings.platform_addresses
+        ],
     )
 
 
@@ -214,11 +249,10 @@
         core.state,
         pools,
         Policies(),
-        core.departures,
         core.clock,
     )
     reporter = Reporter(
-        core.state,
+        PlatformReporter(core.register, core.watches, core.clock),
         core.membership,
         core.departures,
         core.quarantine,
@@ -243,15 +277,19 @@
     links: PeerLinks,
 ) -> None:
     def follow(published: PublishedValue) -> None:
-        core.state.accept(published)
-        if published.key.startswith(CATALOGUES):
-            for catalogue in tuple(core.state.catalogue_by_service.values()):
-                pools.follow(catalogue)
-        elif published.key == FLEET:
+        key = published.key
+        if key.startswith(CATALOGUES):
+            service = ServiceName(key.removeprefix(CATALOGUES))
+            removed = Catalogue(service, ())
+            by_service = core.state.catalogue_by_service
+            pools.follow(by_service.get(service, removed))
+        elif key == FLEET:
             _follow_fleet(core)
-        links.wake()
+            links.follow()
+        links.wake(key)
 
     core.register.subscribe(follow)
+    core.departures.subscribe(links.wake)
 
 
 def _follow_fleet(core: Core) -> None:
@@ -259,25 +297,17 @@
     core.membership.listed(
         {vm.address for vm in fleet.vms if vm.state is VmState.LIVE},
     )
-    for address in fleet.leaving_searchers:
-        core.departures.mark(address)
+    core.departures.listed(fleet.leaving_searchers)
 
 
-def _start_watch(
-    core: Core,
-    tasks: TaskGroup,
-    source: random.Random,
-) -> None:
-    watch = PlatformWatch(
-        [
-            HttpPlatform(address, PREFIX)
-            for address in core.settings.platform_addresses
-        ],
-        core.register,
-        core.clock,
-        source,
+def _start_watches(core: Core, tasks: TaskGroup, links: PeerLinks) -> None:
+    for watch in core.watches:
+        tasks.start(partial(watch.run, tasks.stopping))
+    firsts = [one.health.first_read for one in core.watches]
+    tasks.start(lambda: core.pauses.run(tasks.stopping))
+    tasks.start(
+        lambda: settle(core.state, links.is_settled, firsts, tasks.stopping),
     )
-    tasks.start(lambda: watch.run(tasks.stopping))
 
 
 def _listening(settings: Settings) -> Listening:
