--- a/basilwall/standin/platform.py
+++ b/basilwall/standin/platform.py
@@ -21,6 +21,8 @@
 
 MAX_VALUE_BYTES = 1_048_576
 CALLS_A_SECOND = 2000
+#: Former values that a stale platform can show.
+MAX_HISTORY = 1024
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_TOO_LARGE = 413
@@ -38,6 +40,7 @@
         self.calls = 0
         self._recent: deque[float] = deque()
         self._by_key: dict[str, PublishedValue] = {}
+        self._history: deque[PublishedValue] = deque(maxlen=MAX_HISTORY)
         self._revision = 0
         self._changed = threading.Condition()
         self._server: StandInServer | None = None
@@ -70,6 +73,7 @@
             self._revision += 1
             revision = self._revision
             self._by_key[key] = PublishedValue(key, revision, body)
+            self._history.append(self._by_key[key])
             self._changed.notify_all()
         return revision
 
@@ -78,13 +82,19 @@
         with self._changed:
             self._changed.wait_for(lambda: self._visible() > after, wait)
             visible = self._visible()
+            by_key = self._by_key
+            if self.stale_at is not None:
+                shown = [
+                    one for one in self._history if one.revision <= visible
+                ]
+                by_key = {one.key: one for one in shown}
             values = tuple(
                 published
-                for published in self._by_key.values()
-                if after < published.revision <= visible
+                for published in by_key.values()
+                if published.revision > after
                 and published.key.startswith(prefix)
             )
-        return WatchReply(max(after, visible), values)
+        return WatchReply(visible, values)
 
     def switch(self, *, down: bool, stale: bool) -> None:
         """Go down or up, and freeze or thaw what readers see."""
@@ -93,6 +103,12 @@
             self.stale_at = self._revision if stale else None
             self._changed.notify_all()
 
+    def go_back(self, revision: int) -> None:
+        """Show readers what was published up to a revision, and no more."""
+        with self._changed:
+            self.stale_at = revision
+            self._changed.notify_all()
+
     def allow(self) -> bool:
         """Count one call; False if there are too many a second."""
         now = time.monotonic()
@@ -112,6 +128,8 @@
 class _Change(msgspec.Struct):
     down: bool = False
     stale: bool = False
+    #: Stale at this revision, also if readers have seen newer ones.
+    show_up_to: int | None = None
 
 
 class _PlatformHandler(StandInHandler):
@@ -142,6 +160,8 @@
         if path == '/switches':
             change = msgspec.json.decode(body, type=_Change)
             self.platform.switch(down=change.down, stale=change.stale)
+            if change.show_up_to is not None:
+                self.platform.go_back(change.show_up_to)
             self.reply_json(HTTP_OK, change)
             return
         if len(body) > MAX_VALUE_BYTES:
