Stop a request that crashes searchers after two of them

A request that crashes each searcher which runs it was fanned out and retried on every resend, and nothing ever struck it: the quarantine was not wired.

Contents are now known by their hash. A content that nobody on this VM has seen answered goes to one searcher first, the same one on every VM. A lost connection is a strike; whether the searcher died is asked by connecting, and searchers that ran nothing of the content are asked beside it, so that a zone's cut strikes nobody. After the first strike the content runs on one searcher at a time, without hedge or retry beside others; after two deaths it is refused at once, at every VM, until it expires. An answer by another replica of the part clears an innocent that was in flight beside it.

An entry's remaining lifetime travels with it: before, two VMs that told each other kept an entry alive for ever. Retries of what was never sent no longer cost budget, since they put no load on anybody.

Ruled out: the second trial at the same part (two of three replicas gone, and innocents were refused for coverage); a canary only while searchers were lost lately (the first fan-out already loses one searcher of each part).

--- a/basilwall/operators/reporting.py
+++ b/basilwall/operators/reporting.py
@@ -51,8 +51,9 @@
             },
             leaving_searchers=self._departures.ages(),
             quarantine={
-                entry.fingerprint: tuple(sorted(entry.strikes))
+                entry.fingerprint: tuple(sorted(entry.standing()))
                 for entry in self._quarantine.entries()
+                if entry.standing()
             },
             counters=self._metrics.counters(),
             latencies=self._metrics.latencies(),
--- a/basilwall/order/desk.py
+++ b/basilwall/order/desk.py
@@ -24,7 +24,6 @@
 
 KIND = 'order'
 RETRY_AFTER_MS = 500
-_HEX = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +143,7 @@
                     request.body,
                     request.deadline,
                     ticket.expires_at,
-                    int(mark, _HEX),
+                    mark,
                 ),
             )
         finally:
--- a/basilwall/order/dispatch.py
+++ b/basilwall/order/dispatch.py
@@ -11,6 +11,7 @@
 from basilwall.backend.pool import AttemptJob
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
+from basilwall.backend.suspects import REFUSED, Content, Suspects
 from basilwall.parts.clock import Clock
 from basilwall.platform.state import PlatformState
 from basilwall.records.attempt import (
@@ -25,6 +26,7 @@
 from basilwall.records.catalogue import Part, Snapshot
 from basilwall.records.ids import (
     AttemptId,
+    Fingerprint,
     RequestId,
     SearcherAddress,
     ServiceName,
@@ -36,6 +38,7 @@
 #: How often one order may be sent after proofs that it did not run.
 MAX_SENDS = 4
 RETRY_AFTER_MS = 500
+_HEX = 16
 
 _REASON_BY_TAG = {
     OutcomeTag.SHED: OrderReason.OVERLOADED,
@@ -48,7 +51,7 @@
     """One order that this VM may dispatch.
 
     `deadline` is in monotonic seconds, `ticket_expires_at` in seconds of the
-    wall clock; `place` picks the part that runs it.
+    wall clock; the fingerprint picks the part that runs it.
     """
 
     request_id: RequestId
@@ -56,7 +59,7 @@
     body: bytes
     deadline: float
     ticket_expires_at: float
-    place: int
+    fingerprint: Fingerprint
 
 
 @dataclass(slots=True)
@@ -74,10 +77,12 @@
         self,
         state: PlatformState,
         pools: SearcherPools,
+        suspects: Suspects,
         clock: Clock,
     ) -> None:
         self._state = state
         self._pools = pools
+        self._suspects = suspects
         self._clock = clock
 
     def dispatch(self, order: Order) -> OrderOutcome:
@@ -92,14 +97,28 @@
         snapshot = self._snapshot(order)
         if snapshot is None or not snapshot.parts:
             return _not_run(OrderReason.NO_SEARCHER)
-        part = snapshot.parts[order.place % len(snapshot.parts)]
-        sends = _Sends()
+        content = Content(order.service, order.fingerprint)
+        if self._suspects.judge(content) in REFUSED:
+            retry_after_ms = self._suspects.retry_after_ms(content)
+            return _not_run(OrderReason.QUARANTINED, retry_after_ms)
+        place = int(order.fingerprint, _HEX)
+        part = snapshot.parts[place % len(snapshot.parts)]
+        sends = _Sends(self._passed_over(content, part))
         for number in range(MAX_SENDS):
             outcome = self._send(order, snapshot, part, sends, number)
             if outcome is not None:
                 return outcome
         return _from_last(sends.last)
 
+    def _passed_over(
+        self,
+        content: Content,
+        part: Part,
+    ) -> set[SearcherAddress]:
+        """Return the searchers lost under the content, unless all were."""
+        struck = self._suspects.struck(content)
+        return struck if set(part.searchers) - struck else set()
+
     def _snapshot(self, order: Order) -> Snapshot | None:
         catalogue = self._state.catalogue_by_service.get(order.service)
         if catalogue is None or not catalogue.snapshots:
@@ -130,13 +149,14 @@
         )
         arrived: Future[AttemptOutcome] = Future()
         decided_at = self._clock.monotonic()
-        pool.submit(
-            AttemptJob(
-                request,
-                lambda _, outcome: arrived.set_result(outcome),
-                may_send=lambda: self._may_send(order, decided_at),
-            ),
+        job = AttemptJob(
+            request,
+            lambda _, outcome: arrived.set_result(outcome),
+            may_send=lambda: self._may_send(order, decided_at),
         )
+        pool.submit(job)
+        content = Content(order.service, order.fingerprint)
+        self._suspects.saw(content, part, job, arrived.result())
         return _judge(arrived.result(), sends)
 
     def _may_send(self, order: Order, decided_at: float) -> bool:
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -1,39 +1,92 @@
-"""Fingerprints of requests that crash the searchers which run them.
+"""Contents of requests that crash the searchers which run them.
 
-A strike is a distinct searcher that died while it ran a request of that
-content. After the first strike the request runs on one searcher at a time;
-after the second nobody runs it until the entry expires.
+A strike is a searcher that was lost while it ran a content. After the first
+one the content runs on one searcher at a time; after the second death nobody
+runs it until the entry expires. Two things speak for a content: an answer by
+another replica of the same part, and another content that died on the same
+searchers and on more besides.
 """
 
 import threading
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
 from basilwall.parts.clock import Clock
-from basilwall.records.ids import Fingerprint, SearcherAddress
+from basilwall.records.ids import Fingerprint, IncidentId, SearcherAddress
+from basilwall.records.strike import Evidence, Strike
 
-STRIKES_TO_QUARANTINE = 2
 #: How long an entry is kept after its last strike, in seconds.
 EXPIRY = 300.0
 MAX_ENTRIES = 10_000
+#: Strikes kept for one content, cleared ones among them.
+MAX_STRIKES = 32
+#: Strikes on one searcher within this time stand for one death, in seconds.
+SAME_DEATH = 3.0
+#: A verdict that takes longer will not come, in seconds.
+VERDICT_LIMIT = 1.0
+#: Two distinct searchers that died, or four that only cut the connection.
+WEIGHT_TO_QUARANTINE = 4
+
+_WEIGHT_BY_EVIDENCE = {
+    Evidence.PENDING: 1,
+    Evidence.LOST: 1,
+    Evidence.DIED: 2,
+    Evidence.CLEARED: 0,
+}
 
 
 class Suspicion(Enum):
-    """What may be done with a request of some content."""
+    """What may be done with a request of some content.
+
+    AWAITED means that it will be QUARANTINED if the searchers that it lost
+    turn out to have died.
+    """
 
     NONE = 'none'
     SUSPECT = 'suspect'
+    AWAITED = 'awaited'
     QUARANTINED = 'quarantined'
 
 
+@dataclass(frozen=True, slots=True)
+class _Counted:
+    """A strike and when it was heard of, in monotonic seconds."""
+
+    strike: Strike
+    heard_at: float
+
+    @property
+    def stands(self) -> bool:
+        return self.strike.evidence is not Evidence.CLEARED
+
+
 @dataclass(slots=True)
 class QuarantineEntry:
-    """The searchers that died under one content; `expires_at` is monotonic."""
+    """The strikes against one content; `expires_at` is monotonic."""
 
     fingerprint: Fingerprint
     expires_at: float
-    strikes: set[SearcherAddress] = field(default_factory=set)
+    counted: dict[IncidentId, _Counted] = field(default_factory=dict)
+
+    @property
+    def strikes(self) -> list[Strike]:
+        """The strikes, cleared ones among them."""
+        return [one.strike for one in tuple(self.counted.values())]
+
+    def standing(self) -> dict[SearcherAddress, _Counted]:
+        """Return the strongest strike that stands, for each searcher."""
+        by_searcher: dict[SearcherAddress, _Counted] = {}
+        for one in self.counted.values():
+            searcher = one.strike.searcher
+            held = by_searcher.get(searcher)
+            stronger = (
+                held is None or held.strike.evidence < one.strike.evidence
+            )
+            if one.stands and stronger:
+                by_searcher[searcher] = one
+        return by_searcher
 
 
 class Quarantine:
@@ -45,55 +98,190 @@
         self._by_fingerprint: OrderedDict[Fingerprint, QuarantineEntry] = (
             OrderedDict()
         )
-        self._lock = threading.Lock()
+        self._fingerprints_by_searcher: defaultdict[
+            SearcherAddress,
+            set[Fingerprint],
+        ] = defaultdict(set)
+        self._lock = threading.RLock()
 
     def strike(
         self,
         fingerprint: Fingerprint,
-        searchers: set[SearcherAddress],
+        strikes: Iterable[Strike],
+        lifetime: float = EXPIRY,
     ) -> bool:
-        """Count searchers that died under a content, here or at a peer.
+        """Count searchers that were lost under a content, here or at a peer.
 
         Args:
             fingerprint: The hash of the request's content.
-            searchers: The searchers that died.
+            strikes: The searchers, with what is known of each loss.
+            lifetime: How long to remember, in seconds. A peer passes on what
+                is left, so that an entry does not outlive its expiry by
+                being told back and forth.
 
         Returns:
             True if this told anything new.
         """
-        expires_at = self._clock.monotonic() + EXPIRY
+        now = self._clock.monotonic()
+        expires_at = now + min(lifetime, EXPIRY)
         with self._lock:
+            self._forget(now)
             entry = self._by_fingerprint.get(fingerprint)
             if entry is None:
                 entry = QuarantineEntry(fingerprint, expires_at)
-                self._by_fingerprint[fingerprint] = entry
-            fresh = not searchers <= entry.strikes
+            fresh = [one for one in strikes if _is_news(entry, one)]
+            for one in fresh:
+                self._count(entry, one, now)
             if fresh:
-                entry.strikes |= searchers
-                entry.expires_at = expires_at
-            while len(self._by_fingerprint) > self._max_entries:
-                self._by_fingerprint.popitem(last=False)
-        return fresh
+                entry.expires_at = max(entry.expires_at, expires_at)
+                self._by_fingerprint[fingerprint] = entry
+                self._by_fingerprint.move_to_end(fingerprint)
+                self._cap()
+        return bool(fresh)
 
-    def judge(self, fingerprint: Fingerprint) -> Suspicion:
-        """Return what may be done with a request of this content."""
+    def clear(
+        self,
+        fingerprint: Fingerprint,
+        searchers: Collection[SearcherAddress],
+    ) -> bool:
+        """Note that a content was answered by one of these replicas.
+
+        Args:
+            fingerprint: The hash of the request's content.
+            searchers: The replicas of the part that answered.
+
+        Returns:
+            True if a strike was cleared by this.
+        """
         with self._lock:
             entry = self._by_fingerprint.get(fingerprint)
             if entry is None:
+                return False
+            return self.strike(
+                fingerprint,
+                [
+                    Strike(one.incident, one.searcher, Evidence.CLEARED)
+                    for one in entry.strikes
+                    if one.searcher in searchers
+                ],
+                entry.expires_at - self._clock.monotonic(),
+            )
+
+    def judge(self, fingerprint: Fingerprint) -> Suspicion:
+        """Return what may be done with a request of this content."""
+        with self._lock:
+            entry = self._live(fingerprint)
+            standing = entry.standing() if entry else {}
+            if not entry or not standing:
                 return Suspicion.NONE
-            if entry.expires_at < self._clock.monotonic():
-                self._by_fingerprint.pop(fingerprint)
-                return Suspicion.NONE
-            if len(entry.strikes) >= STRIKES_TO_QUARANTINE:
-                return Suspicion.QUARANTINED
-            return Suspicion.SUSPECT
+            own = [
+                one
+                for one in standing.values()
+                if not self._is_explained(entry, one)
+            ]
+            now = self._clock.monotonic()
+        if sum(map(_weight, own)) >= WEIGHT_TO_QUARANTINE:
+            return Suspicion.QUARANTINED
+        expected = sum(_expected_weight(one, now) for one in own)
+        if expected >= WEIGHT_TO_QUARANTINE:
+            return Suspicion.AWAITED
+        return Suspicion.SUSPECT
+
+    def struck(self, fingerprint: Fingerprint) -> set[SearcherAddress]:
+        """Return the searchers that were lost under a content."""
+        with self._lock:
+            entry = self._live(fingerprint)
+            return set(entry.standing()) if entry else set()
+
+    def died(self) -> set[SearcherAddress]:
+        """Return the searchers that were found dead under any content."""
+        return {
+            searcher
+            for entry in self.entries()
+            for searcher, one in entry.standing().items()
+            if one.strike.evidence is Evidence.DIED
+        }
+
+    def seconds_left(self, fingerprint: Fingerprint) -> float:
+        """Return the time until a content's entry expires."""
+        entry = self._by_fingerprint.get(fingerprint)
+        if entry is None:
+            return 0
+        return max(entry.expires_at - self._clock.monotonic(), 0)
 
     def entries(self) -> list[QuarantineEntry]:
-        """Return the entries that have not expired."""
-        now = self._clock.monotonic()
+        """Return the entries that have not expired, newest last."""
         with self._lock:
-            return [
-                entry
-                for entry in self._by_fingerprint.values()
-                if entry.expires_at >= now
-            ]
+            self._forget(self._clock.monotonic())
+            return list(self._by_fingerprint.values())
+
+    def _live(self, fingerprint: Fingerprint) -> QuarantineEntry | None:
+        entry = self._by_fingerprint.get(fingerprint)
+        if entry is None or entry.expires_at > self._clock.monotonic():
+            return entry
+        self._drop(entry)
+        return None
+
+    def _count(self, entry: QuarantineEntry, one: Strike, now: float) -> None:
+        held = entry.counted.get(one.incident)
+        heard_at = held.heard_at if held else now
+        entry.counted[one.incident] = _Counted(one, heard_at)
+        self._fingerprints_by_searcher[one.searcher].add(entry.fingerprint)
+
+    def _is_explained(self, entry: QuarantineEntry, one: _Counted) -> bool:
+        """Return whether a heavier content died on the searcher as well."""
+        searcher = one.strike.searcher
+        weight = _total(entry)
+        beside_it = self._fingerprints_by_searcher[searcher]
+        for fingerprint in tuple(beside_it - {entry.fingerprint}):
+            other = self._live(fingerprint)
+            beside = other.standing().get(searcher) if other else None
+            if other is None or beside is None or _total(other) < weight:
+                continue
+            if abs(beside.heard_at - one.heard_at) <= SAME_DEATH:
+                return True
+        return False
+
+    def _forget(self, now: float) -> None:
+        expired = [
+            entry
+            for entry in self._by_fingerprint.values()
+            if entry.expires_at <= now
+        ]
+        for entry in expired:
+            self._drop(entry)
+
+    def _cap(self) -> None:
+        while len(self._by_fingerprint) > self._max_entries:
+            self._drop(next(iter(self._by_fingerprint.values())))
+
+    def _drop(self, entry: QuarantineEntry) -> None:
+        self._by_fingerprint.pop(entry.fingerprint)
+        for strike in entry.strikes:
+            searcher = strike.searcher
+            fingerprints = self._fingerprints_by_searcher[searcher]
+            fingerprints.discard(entry.fingerprint)
+            if not fingerprints:
+                self._fingerprints_by_searcher.pop(searcher)
+
+
+def _is_news(entry: QuarantineEntry, one: Strike) -> bool:
+    held = entry.counted.get(one.incident)
+    if held is None:
+        return len(entry.counted) < MAX_STRIKES
+    return held.strike.evidence < one.evidence
+
+
+def _weight(one: _Counted) -> int:
+    return _WEIGHT_BY_EVIDENCE[one.strike.evidence]
+
+
+def _total(entry: QuarantineEntry) -> int:
+    return sum(map(_weight, entry.standing().values()))
+
+
+def _expected_weight(one: _Counted, now: float) -> int:
+    pending = one.strike.evidence is Evidence.PENDING
+    if pending and now - one.heard_at < VERDICT_LIMIT:
+        return _WEIGHT_BY_EVIDENCE[Evidence.DIED]
+    return _weight(one)
--- a/basilwall/peer/facts.py
+++ b/basilwall/peer/facts.py
@@ -13,10 +13,12 @@
 from basilwall.records.ids import (
     Fingerprint,
     Incarnation,
+    IncidentId,
     SearcherAddress,
     VmAddress,
     Zone,
 )
+from basilwall.records.strike import Evidence, Strike
 
 MILLISECONDS = 1000
 #: Most entries of one kind in one message.
@@ -92,8 +94,11 @@
                 ),
             )
         for entry in facts.quarantine:
-            strikes = {SearcherAddress(address) for address in entry.strikes}
-            self.quarantine.strike(Fingerprint(entry.fingerprint), strikes)
+            self.quarantine.strike(
+                Fingerprint(entry.fingerprint),
+                [_strike(one) for one in entry.strikes],
+                entry.expires_in_ms / MILLISECONDS,
+            )
         for leaving in facts.leaving:
             self.departures.mark(
                 SearcherAddress(leaving.address),
@@ -104,7 +109,18 @@
         return [
             peer_pb2.QuarantineEntry(
                 fingerprint=entry.fingerprint,
-                strikes=sorted(entry.strikes),
+                expires_in_ms=int(
+                    self.quarantine.seconds_left(entry.fingerprint)
+                    * MILLISECONDS,
+                ),
+                strikes=[
+                    peer_pb2.Strike(
+                        incident=one.incident,
+                        searcher=one.searcher,
+                        evidence=one.evidence,
+                    )
+                    for one in entry.strikes
+                ],
             )
             for entry in self.quarantine.entries()[-MAX_ENTRIES:]
         ]
@@ -137,3 +153,11 @@
         Zone(identity.zone),
         identity.leaving,
     )
+
+
+def _strike(wire: peer_pb2.Strike) -> Strike:
+    return Strike(
+        IncidentId(wire.incident),
+        SearcherAddress(wire.searcher),
+        Evidence(min(wire.evidence, max(Evidence))),
+    )
--- /dev/null
+++ b/basilwall/query/canary.py
@@ -0,0 +1,223 @@
+"""Ask one searcher before all: a request that crashes it stops there.
+
+A content that nobody here has seen answered goes to one searcher first, and
+to every part only once that one has answered (Dean and Barroso, The Tail at
+Scale, 2013). All VMs choose the same searcher for a content, so callers that
+send it through many VMs at once lose one searcher and not one for each VM.
+"""
+
+import queue
+import time
+from dataclasses import dataclass, field
+
+from basilwall.backend.pool import AttemptJob
+from basilwall.backend.pools import SearcherPools
+from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
+from basilwall.backend.suspects import REFUSED, Content, Suspects
+from basilwall.parts.clock import Clock
+from basilwall.parts.quarantine import Suspicion
+from basilwall.query.candidates import Candidate, choose_alone
+from basilwall.query.policy import ServicePolicy
+from basilwall.query.progress import Query, attempt_at
+from basilwall.records.answer import MissingReason
+from basilwall.records.attempt import (
+    Answered,
+    AttemptOutcome,
+    MayHaveRun,
+    NotRun,
+    OutcomeTag,
+    RequestKind,
+)
+from basilwall.records.catalogue import Part, Snapshot
+from basilwall.records.ids import (
+    InstanceName,
+    SearcherAddress,
+)
+
+#: Time for peers to tell why the chosen searcher is gone, in seconds.
+PAUSE_AFTER_REFUSED = 0.01
+
+_Event = tuple[AttemptJob, AttemptOutcome]
+
+
+@dataclass(slots=True)
+class Tried:
+    """What came of asking single searchers.
+
+    `passed` is True once the whole service may be asked.
+    """
+
+    answer_by_instance: dict[InstanceName, Answered] = field(
+        default_factory=dict,
+    )
+    searchers: set[SearcherAddress] = field(default_factory=set)
+    attempts: int = 0
+    may_have_run: bool = False
+    ran_well: bool = False
+    over: bool = False
+    passed: bool = False
+    reason: MissingReason = MissingReason.NO_SEARCHER
+
+
+class Canary:
+    """One query's way through single searchers."""
+
+    def __init__(
+        self,
+        query: Query,
+        snapshot: Snapshot,
+        policy: ServicePolicy,
+        pools: SearcherPools,
+        suspects: Suspects,
+        clock: Clock,
+    ) -> None:
+        self.tried = Tried()
+        self._query = query
+        self._snapshot = snapshot
+        self._policy = policy
+        self._pools = pools
+        self._suspects = suspects
+        self._clock = clock
+        self._inbox: queue.SimpleQueue[_Event] = queue.SimpleQueue()
+        self._part_by_job: dict[AttemptJob, Part] = {}
+
+    def run(self, content: Content) -> Tried:
+        """Ask single searchers until one answers.
+
+        A content with strikes is tried at another part first, so that one
+        part does not lose two replicas to it. Then each part that lost a
+        searcher must answer, since an answer clears its own part only.
+
+        Args:
+            content: The content of the query.
+
+        Returns:
+            What came of it, at the query's deadline at the latest.
+        """
+        tried = self.tried
+        while not (tried.over or tried.passed):
+            suspicion = self._suspects.verdict(content, self._query.deadline)
+            if suspicion in REFUSED:
+                return tried
+            if tried.ran_well and suspicion is Suspicion.NONE:
+                tried.passed = True
+            else:
+                self._ask_next(content, suspicion)
+        return tried
+
+    def _ask_next(self, content: Content, suspicion: Suspicion) -> None:
+        candidate = self._next(content)
+        if candidate is None:
+            self.tried.over = True
+            self.tried.passed = self.tried.ran_well
+            return
+        self._send(candidate)
+        may_hedge = suspicion is Suspicion.NONE
+        try:
+            self._gather(content, may_hedge=may_hedge)
+        finally:
+            self._cancel()
+
+    def _gather(self, content: Content, *, may_hedge: bool) -> None:
+        """Take outcomes until one answers or none is in flight."""
+        deadline = self._query.deadline
+        hedge_at = self._clock.monotonic() + self._policy.hedge.delay
+        while self._part_by_job:
+            due = min(hedge_at, deadline) if may_hedge else deadline
+            event = self._next_event(due)
+            if event is None and self._clock.monotonic() >= deadline:
+                self._note_deadline()
+                return
+            if event is None:
+                may_hedge = False
+                self._hedge(content)
+            elif self._take(content, *event):
+                return
+
+    def _note_deadline(self) -> None:
+        self.tried.over = True
+        self.tried.may_have_run = True
+        self.tried.reason = MissingReason.DEADLINE
+
+    def _hedge(self, content: Content) -> None:
+        candidate = self._next(content)
+        if candidate is not None and self._policy.budget.spend():
+            self._send(candidate)
+
+    def _next(self, content: Content) -> Candidate | None:
+        parts = self._snapshot.parts
+        struck = self._suspects.struck(content)
+        under_strike = [part for part in parts if struck & set(part.searchers)]
+        untouched = [part for part in parts if part not in under_strike]
+        wanted = [under_strike]
+        if not self.tried.ran_well:
+            wanted.insert(0, untouched)
+        for group in wanted:
+            candidate = choose_alone(
+                content.fingerprint,
+                group,
+                self._pools,
+                struck,
+                self.tried.searchers,
+            )
+            if candidate is not None:
+                return candidate
+        return None
+
+    def _send(self, candidate: Candidate) -> None:
+        tried = self.tried
+        tried.attempts += 1
+        tried.searchers.add(candidate.pool.address)
+        request = attempt_at(
+            self._query,
+            self._snapshot,
+            candidate.part,
+            tried.attempts,
+        )
+        job = AttemptJob(request, self._deliver)
+        self._part_by_job[job] = candidate.part
+        candidate.pool.submit(job)
+
+    def _deliver(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
+        self._inbox.put((job, outcome))
+
+    def _next_event(self, due: float) -> _Event | None:
+        wait = max(due - self._clock.monotonic(), 0)
+        try:
+            return self._inbox.get(timeout=wait)
+        except queue.Empty:
+            return None
+
+    def _take(
+        self,
+        content: Content,
+        job: AttemptJob,
+        outcome: AttemptOutcome,
+    ) -> bool:
+        """Take one outcome in; True if the searcher ran it and lives."""
+        part = self._part_by_job.pop(job, None)
+        if part is None:
+            return False
+        self._suspects.saw(content, part, job, outcome)
+        tried = self.tried
+        tried.may_have_run |= isinstance(outcome, Answered | MayHaveRun)
+        if not isinstance(outcome, Answered):
+            self._take_failure(outcome)
+            return False
+        self._policy.hedge.observe(self._clock.monotonic() - job.sent_at)
+        tried.ran_well = True
+        if outcome.snapshot == self._snapshot.snapshot_id:
+            tried.answer_by_instance[part.instance] = outcome
+        return True
+
+    def _take_failure(self, outcome: NotRun | MayHaveRun) -> None:
+        rule = RULE_BY_KIND_AND_TAG[RequestKind.IDEMPOTENT, outcome.tag]
+        self.tried.reason = rule.missing
+        self.tried.over |= not rule.again
+        if outcome.tag is OutcomeTag.NOT_SENT:
+            time.sleep(PAUSE_AFTER_REFUSED)
+
+    def _cancel(self) -> None:
+        for job in self._part_by_job:
+            job.cancel()
+        self._part_by_job = {}
--- a/basilwall/query/progress.py
+++ b/basilwall/query/progress.py
@@ -9,9 +9,14 @@
 
 from basilwall.backend.pool import AttemptJob
 from basilwall.records.answer import Coverage, MissingPart, MissingReason
-from basilwall.records.attempt import Answered
+from basilwall.records.attempt import Answered, AttemptRequest, RequestKind
 from basilwall.records.catalogue import Part, Snapshot
-from basilwall.records.ids import RequestId, SearcherAddress, ServiceName
+from basilwall.records.ids import (
+    AttemptId,
+    RequestId,
+    SearcherAddress,
+    ServiceName,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +51,25 @@
     may_have_run: bool
 
 
+def attempt_at(
+    query: Query,
+    snapshot: Snapshot,
+    part: Part,
+    number: int,
+) -> AttemptRequest:
+    """Return a query's attempt of that number, for one part."""
+    return AttemptRequest(
+        service=query.service,
+        instance=part.instance,
+        kind=RequestKind.IDEMPOTENT,
+        request_id=query.request_id,
+        attempt_id=AttemptId(f'{query.request_id}.{number}'),
+        snapshot=snapshot.snapshot_id,
+        body=query.body,
+        deadline=query.deadline,
+    )
+
+
 def gather(
     snapshot: Snapshot,
     ended: Sequence[PartProgress],
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -13,19 +13,23 @@
 from basilwall.parts.clock import Clock
 from basilwall.parts.departures import Departures
 from basilwall.query.policy import ServicePolicy
-from basilwall.query.progress import Gathered, PartProgress, Query, gather
+from basilwall.query.progress import (
+    Gathered,
+    PartProgress,
+    Query,
+    attempt_at,
+    gather,
+)
+from basilwall.query.watch import ContentWatch
 from basilwall.records.answer import MissingReason
 from basilwall.records.attempt import (
     Answered,
     AttemptOutcome,
-    AttemptRequest,
     MayHaveRun,
+    OutcomeTag,
     RequestKind,
 )
-from basilwall.records.catalogue import Part, Snapshot
-from basilwall.records.ids import (
-    AttemptId,
-)
+from basilwall.records.catalogue import Snapshot
 
 _Event = tuple[AttemptJob, AttemptOutcome]
 
@@ -41,6 +45,7 @@
         pools: SearcherPools,
         departures: Departures,
         clock: Clock,
+        watch: ContentWatch,
     ) -> None:
         self._query = query
         self._snapshot = snapshot
@@ -52,8 +57,10 @@
         self._progress_by_job: dict[AttemptJob, PartProgress] = {}
         self._open: list[PartProgress] = []
         self._ended: list[PartProgress] = []
-        self._may_have_run = False
-        self._attempts = 0
+        self._deferred: list[PartProgress] = []
+        self._watch = watch
+        self._may_have_run = watch.tried.may_have_run
+        self._attempts = watch.tried.attempts
 
     def run(self) -> Gathered:
         """Send to every part and gather until nothing more can come.
@@ -62,7 +69,7 @@
             All that was gathered, at the deadline at the latest.
         """
         self._send_first()
-        while self._open:
+        while self._open or self._resume():
             now = self._clock.monotonic()
             if now >= self._query.deadline:
                 break
@@ -72,6 +79,7 @@
             else:
                 self._take(*event)
         self._give_up_open()
+        self._ended.extend(self._deferred)
         return gather(
             self._snapshot,
             self._ended,
@@ -84,7 +92,8 @@
         self._policy.budget.earn(len(self._snapshot.parts))
         for part in self._snapshot.parts:
             progress = PartProgress(part, hedge_at)
-            if self._send(progress):
+            progress.answer = self._watch.answer_of(part)
+            if progress.answer is None and self._send(progress):
                 self._open.append(progress)
             else:
                 self._ended.append(progress)
@@ -94,26 +103,19 @@
         if pool is None:
             return False
         self._attempts += 1
-        job = AttemptJob(self._request(progress.part), self._deliver)
+        request = attempt_at(
+            self._query,
+            self._snapshot,
+            progress.part,
+            self._attempts,
+        )
+        job = AttemptJob(request, self._deliver)
         progress.tried.add(pool.address)
         progress.jobs.append(job)
         self._progress_by_job[job] = progress
         pool.submit(job)
         return True
 
-    def _request(self, part: Part) -> AttemptRequest:
-        number = self._attempts
-        return AttemptRequest(
-            service=self._query.service,
-            instance=part.instance,
-            kind=RequestKind.IDEMPOTENT,
-            request_id=self._query.request_id,
-            attempt_id=AttemptId(f'{self._query.request_id}.{number}'),
-            snapshot=self._snapshot.snapshot_id,
-            body=self._query.body,
-            deadline=self._query.deadline,
-        )
-
     def _deliver(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
         self._inbox.put((job, outcome))
 
@@ -130,6 +132,8 @@
             if progress.hedge_at > now:
                 continue
             progress.hedge_at = self._query.deadline
+            if self._watch.is_suspect:
+                continue
             untried = len(progress.tried) < len(progress.part.searchers)
             if untried and self._policy.budget.spend():
                 self._send(progress)
@@ -138,6 +142,7 @@
         progress = self._progress_by_job.pop(job)
         progress.jobs.remove(job)
         self._may_have_run |= isinstance(outcome, Answered | MayHaveRun)
+        self._watch.saw(progress.part, job, outcome)
         if progress.answer is not None:
             return
         if isinstance(outcome, Answered):
@@ -169,16 +174,39 @@
         rule = RULE_BY_KIND_AND_TAG[RequestKind.IDEMPOTENT, outcome.tag]
         progress.reason = rule.missing
         if rule.again:
-            self._try_again(progress)
+            # What was not sent put no load on a searcher.
+            is_free = outcome.tag is OutcomeTag.NOT_SENT
+            self._try_again(progress, is_free=is_free)
         elif not progress.jobs:
             self._end(progress)
 
-    def _try_again(self, progress: PartProgress) -> None:
+    def _try_again(
+        self,
+        progress: PartProgress,
+        *,
+        is_free: bool = False,
+    ) -> None:
         if progress.jobs:
             return
-        if not self._policy.budget.spend() or not self._send(progress):
+        if self._watch.is_suspect:
+            self._open.remove(progress)
+            self._deferred.append(progress)
+            return
+        may_send = is_free or self._policy.budget.spend()
+        if not may_send or not self._send(progress):
             self._end(progress)
 
+    def _resume(self) -> bool:
+        """Send one deferred part, alone; False if there is none to send."""
+        while self._deferred:
+            progress = self._deferred.pop()
+            progress.hedge_at = self._query.deadline
+            if self._watch.may_run and self._send(progress):
+                self._open.append(progress)
+                return True
+            self._ended.append(progress)
+        return False
+
     def _end(self, progress: PartProgress) -> None:
         self._open.remove(progress)
         self._ended.append(progress)
--- a/basilwall/records/ids.py
+++ b/basilwall/records/ids.py
@@ -25,5 +25,8 @@
 #: A hash over the content of a request, equal for every resend of it.
 Fingerprint = NewType('Fingerprint', str)
 
+#: One loss of one searcher under one content, named by the VM that saw it.
+IncidentId = NewType('IncidentId', str)
+
 #: Assigned by the platform; grows with each change of any key.
 Revision = NewType('Revision', int)
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -14,6 +14,7 @@
 from statsd import StatsClient
 
 from basilwall.backend.pools import SearcherPools
+from basilwall.backend.suspects import Suspects
 from basilwall.caller.admission import Admission
 from basilwall.caller.app import CallerApp
 from basilwall.caller.server import CallerServer, Listening, caller_server
@@ -139,8 +140,16 @@
             source,
         )
         stack.callback(pools.close)
-        desk = _desk(core, pools, clients)
-        service = _caller_service(core, pools, desk)
+        suspects = Suspects(
+            core.quarantine,
+            core.state,
+            tasks,
+            core.clock,
+            source,
+            core.membership.own.incarnation,
+        )
+        desk = _desk(core, pools, clients, suspects)
+        service = _caller_service(core, pools, desk, suspects)
         facts = Facts(
             core.register,
             core.departures,
@@ -148,6 +157,7 @@
             core.membership,
         )
         links = PeerLinks(facts, clients, tasks, source)
+        suspects.tell = links.wake
         _follow_register(core, pools, links)
         peers = PeerService(facts, desk, core.handovers, core.clock)
         stack.enter_context(peer_server(peers, settings.peer_address))
@@ -185,6 +195,7 @@
     core: Core,
     pools: SearcherPools,
     clients: PeerClients,
+    suspects: Suspects,
 ) -> OrderDesk:
     settings = core.settings
     own = core.membership.own
@@ -198,7 +209,7 @@
     return OrderDesk(
         mint,
         TicketTable(mint, core.clock, settings.limits.tickets),
-        OrderDispatcher(core.state, pools, core.clock),
+        OrderDispatcher(core.state, pools, suspects, core.clock),
         GrpcForwarder(clients, core.clock),
         core.handovers,
         core.clock,
@@ -209,12 +220,14 @@
     core: Core,
     pools: SearcherPools,
     desk: OrderDesk,
+    suspects: Suspects,
 ) -> CallerService:
     queries = QueryRunner(
         core.state,
         pools,
         Policies(),
         core.departures,
+        suspects,
         core.clock,
     )
     reporter = Reporter(
