--- a/basilwall/order/desk.py
+++ b/basilwall/order/desk.py
@@ -31,7 +31,6 @@
     OrderState.UNKNOWN,
     OrderReason.OWNER_UNREACHABLE,
 )
-_HEX = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,7 +213,7 @@
                     request.body,
                     request.deadline,
                     ticket.expires_at,
-                    int(mark, _HEX),
+                    mark,
                 ),
             )
         finally:
--- a/basilwall/order/dispatch_test.py
+++ b/basilwall/order/dispatch_test.py
@@ -7,6 +7,7 @@
 from basilwall.order import dispatch as module
 from basilwall.order.dispatch import Order, OrderDispatcher
 from basilwall.parts.clock import ManualClock
+from basilwall.parts.quarantine import Suspicion
 from basilwall.records.attempt import Answered, MayHaveRun, NotRun, OutcomeTag
 from basilwall.records.order import OrderReason, OrderState
 
@@ -72,8 +73,13 @@
     catalogue = SimpleNamespace(snapshots=[snapshot])
     state = SimpleNamespace(catalogue_by_service={'desk': catalogue})
     fields = {'deadline': 1002.0, 'ticket_expires_at': 1060.0, **changes}
-    order = Order('r', 'desk', b'{}', place=0, **fields)
-    return OrderDispatcher(state, pools, clock).dispatch(order)
+    order = Order('r', 'desk', b'{}', fingerprint='0', **fields)
+    suspects = SimpleNamespace(
+        judge=lambda content: Suspicion.NONE,
+        struck=lambda content: set(),
+        saw=lambda *ended: None,
+    )
+    return OrderDispatcher(state, pools, suspects, clock).dispatch(order)
 
 
 @pytest.mark.parametrize(
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -15,6 +15,7 @@
 from statsd import StatsClient
 
 from basilwall.backend.pools import SearcherPools
+from basilwall.backend.suspects import Suspects
 from basilwall.caller.admission import Admission
 from basilwall.caller.app import CallerApp
 from basilwall.caller.server import CallerServer, Listening, caller_server
@@ -161,8 +162,16 @@
             source,
         )
         stack.callback(pools.close)
-        desk = _desk(core, pools, clients, source)
-        service = _caller_service(core, pools, desk)
+        suspects = Suspects(
+            core.quarantine,
+            core.state,
+            tasks,
+            core.clock,
+            source,
+            core.membership.own.incarnation,
+        )
+        desk = _desk(core, pools, clients, suspects, source)
+        service = _caller_service(core, pools, desk, suspects)
         facts = Facts(
             core.register,
             core.departures,
@@ -177,6 +186,7 @@
             source,
             core.pauses.note_read,
         )
+        suspects.tell = links.wake
         _follow_register(core, pools, links)
         peers = PeerService(facts, desk, core.handovers, core.clock)
         stack.enter_context(peer_server(peers, settings.peer_address))
@@ -235,6 +245,7 @@
     core: Core,
     pools: SearcherPools,
     clients: PeerClients,
+    suspects: Suspects,
     source: random.Random,
 ) -> OrderDesk:
     settings = core.settings
@@ -249,7 +260,7 @@
     return OrderDesk(
         mint,
         TicketTable(mint, core.clock, settings.limits.tickets),
-        OrderDispatcher(core.state, pools, core.clock),
+        OrderDispatcher(core.state, pools, suspects, core.clock),
         GrpcForwarder(clients, core.membership, core.clock),
         core.handovers,
         core.clock,
@@ -261,11 +272,13 @@
     core: Core,
     pools: SearcherPools,
     desk: OrderDesk,
+    suspects: Suspects,
 ) -> CallerService:
     queries = QueryRunner(
         core.state,
         pools,
         Policies(),
+        suspects,
         core.clock,
     )
     reporter = Reporter(
