Wake a query's thread only when there is something to decide

Each of ten outcomes woke the thread of the query, which costs a turn of the interpreter lock each; now it wakes for a failure, or once all awaited ones are in. The latency given to the hedge delay is taken where the attempt ends, so that the wait in the inbox doesn't count as the searcher's.

--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -51,6 +51,7 @@
     may_send: Callable[[], bool] = _always
     cancelled: bool = False
     sent_at: float = 0
+    ended_at: float = 0
     connection: SearcherConnection | None = field(default=None, repr=False)
 
     def cancel(self) -> None:
@@ -196,6 +197,7 @@
         self._backoff = min(self._backoff * 2, HIGHEST_BACKOFF)
 
     def _end(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
+        job.ended_at = self._clock.monotonic()
         with self._lock:
             self.in_flight -= 1
         job.deliver(job, outcome)
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -5,12 +5,11 @@
 can come of waiting.
 """
 
-import queue
-
 from basilwall.backend.pool import AttemptJob
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.parts.clock import Clock
+from basilwall.query.inbox import Event, Inbox
 from basilwall.query.policy import ServicePolicy
 from basilwall.query.progress import Gathered, PartProgress, Query, gather
 from basilwall.records.answer import MissingReason
@@ -26,8 +25,6 @@
     AttemptId,
 )
 
-_Event = tuple[AttemptJob, AttemptOutcome]
-
 
 class Scatter:
     """One query over the parts of one snapshot."""
@@ -45,7 +42,7 @@
         self._policy = policy
         self._pools = pools
         self._clock = clock
-        self._inbox: queue.SimpleQueue[_Event] = queue.SimpleQueue()
+        self._inbox = Inbox()
         self._progress_by_job: dict[AttemptJob, PartProgress] = {}
         self._open: list[PartProgress] = []
         self._ended: list[PartProgress] = []
@@ -61,13 +58,13 @@
         self._send_first()
         while self._open:
             now = self._clock.monotonic()
-            if now >= self._query.deadline:
-                break
             event = self._next_event(now)
-            if event is None:
+            if event is not None:
+                self._take(*event)
+            elif now < self._query.deadline:
                 self._hedge(self._clock.monotonic())
             else:
-                self._take(*event)
+                break
         self._give_up_open()
         return gather(
             self._snapshot,
@@ -91,7 +88,7 @@
         if pool is None:
             return False
         self._attempts += 1
-        job = AttemptJob(self._request(progress.part), self._deliver)
+        job = AttemptJob(self._request(progress.part), self._inbox.put)
         progress.tried.add(pool.address)
         progress.jobs.append(job)
         self._progress_by_job[job] = progress
@@ -111,16 +108,10 @@
             deadline=self._query.deadline,
         )
 
-    def _deliver(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        self._inbox.put((job, outcome))
-
-    def _next_event(self, now: float) -> _Event | None:
+    def _next_event(self, now: float) -> Event | None:
         due = min(progress.hedge_at for progress in self._open)
         wait = min(due, self._query.deadline) - now
-        try:
-            return self._inbox.get(timeout=max(wait, 0))
-        except queue.Empty:
-            return None
+        return self._inbox.take(len(self._open), wait)
 
     def _hedge(self, now: float) -> None:
         for progress in self._open:
@@ -148,7 +139,7 @@
         job: AttemptJob,
         answer: Answered,
     ) -> None:
-        self._policy.hedge.observe(self._clock.monotonic() - job.sent_at)
+        self._policy.hedge.observe(job.ended_at - job.sent_at)
         if answer.snapshot != self._snapshot.snapshot_id:
             progress.reason = MissingReason.WRONG_SNAPSHOT
             self._try_again(progress)
