Leave the writing of a reply to its task

A profile showed 23970 turns of waitress' loop for 234 requests: while a task writes, its channel counts as writable, its reply is locked, and the loop spins on poll and takes the interpreter lock from that task.

--- a/basilwall/caller/server.py
+++ b/basilwall/caller/server.py
@@ -17,6 +17,8 @@
 REFUSAL_THREADS = 8
 BACKLOG = 1024
 CONNECTION_LIMIT = 1024
+#: Below this a reply is left to the task that writes it, in bytes.
+LOOP_WRITES_BYTES = 65_536
 #: An idle connection of a caller is closed after this time.
 IDLE_SECONDS = 30
 POLL_SECONDS = 0.02
@@ -49,6 +51,18 @@
 class _Channel(HTTPChannel):
     task_class = _Task
 
+    def writable(self) -> bool:
+        """Return whether the server's loop has anything to write.
+
+        A task writes its reply itself. The loop would meanwhile find the
+        socket writable and the reply locked, again and again, and take the
+        processor from the very task that it waits for.
+        """
+        writing = 0 < self.total_outbufs_len < LOOP_WRITES_BYTES
+        if self.requests and writing and not self.will_close:
+            return False
+        return bool(super().writable())
+
     def is_stopping(self) -> bool:
         server: Any = self.server
         return bool(server.caller_app.is_stopping)
