--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -5,12 +5,11 @@
 can come of waiting.
 """
 
-import queue
-
 from basilwall.backend.pool import AttemptJob
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.parts.clock import Clock
+from basilwall.query.inbox import Event, Inbox
 from basilwall.query.policy import ServicePolicy
 from basilwall.query.progress import (
     Gathered,
@@ -30,8 +29,6 @@
 )
 from basilwall.records.catalogue import Snapshot
 
-_Event = tuple[AttemptJob, AttemptOutcome]
-
 
 class Scatter:
     """One query over the parts of one snapshot."""
@@ -50,7 +47,7 @@
         self._policy = policy
         self._pools = pools
         self._clock = clock
-        self._inbox: queue.SimpleQueue[_Event] = queue.SimpleQueue()
+        self._inbox = Inbox()
         self._progress_by_job: dict[AttemptJob, PartProgress] = {}
         self._open: list[PartProgress] = []
         self._ended: list[PartProgress] = []
@@ -68,13 +65,13 @@
         self._send_first()
         while self._open or self._resume():
             now = self._clock.monotonic()
-            if now >= self._query.deadline:
-                break
             event = self._next_event(now)
-            if event is None:
+            if event is not None:
+                self._take(*event)
+            elif now < self._query.deadline:
                 self._hedge(self._clock.monotonic())
             else:
-                self._take(*event)
+                break
         self._give_up_open()
         self._ended.extend(self._deferred)
         return gather(
@@ -106,23 +103,17 @@
             progress.part,
             self._attempts,
         )
-        job = AttemptJob(request, self._deliver)
+        job = AttemptJob(request, self._inbox.put)
         progress.tried.add(pool.address)
         progress.jobs.append(job)
         self._progress_by_job[job] = progress
         pool.submit(job)
         return True
 
-    def _deliver(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        self._inbox.put((job, outcome))
-
-    def _next_event(self, now: float) -> _Event | None:
+    def _next_event(self, now: float) -> Event | None:
         due = min(progress.hedge_at for progress in self._open)
         wait = min(due, self._query.deadline) - now
-        try:
-            return self._inbox.get(timeout=max(wait, 0))
-        except queue.Empty:
-            return None
+        return self._inbox.take(len(self._open), wait)
 
     def _hedge(self, now: float) -> None:
         for progress in self._open:
@@ -153,7 +144,7 @@
         job: AttemptJob,
         answer: Answered,
     ) -> None:
-        self._policy.hedge.observe(self._clock.monotonic() - job.sent_at)
+        self._policy.hedge.observe(job.ended_at - job.sent_at)
         if answer.snapshot != self._snapshot.snapshot_id:
             progress.reason = MissingReason.WRONG_SNAPSHOT
             self._try_again(progress)
