Take a chunked reply only with its last line end

connection_test failed under -n 2 with Damage('chunked-cut', 0.99): http.client takes a chunked body whose end was cut as whole. It fails the same way with the library's own response class, so it is older than the lean reader.

--- a/basilwall/backend/http_exchange.py
+++ b/basilwall/backend/http_exchange.py
@@ -46,6 +46,13 @@
         version, status, _ = self._read_status()  # type: ignore[attr-defined]
         return version, status
 
+    def _read_and_discard_trailer(self) -> None:
+        """Read what follows the last chunk; its end must have come."""
+        line = self.fp.readline(MAX_LINE_BYTES)
+        while line != b'\r\n':
+            _split(line)
+            line = self.fp.readline(MAX_LINE_BYTES)
+
     def _read_head(self) -> dict[bytes, bytes]:
         framing: dict[bytes, bytes] = {}
         for _ in range(MAX_HEAD_LINES):
