--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -59,12 +59,12 @@
         while self._open:
             now = self._clock.monotonic()
             event = self._next_event(now)
-            if event is not None:
-                self._take(*event)
-            elif now < self._query.deadline:
+            if event is None and now >= self._query.deadline:
+                break
+            if event is None:
                 self._hedge(self._clock.monotonic())
             else:
-                break
+                self._take(*event)
         self._give_up_open()
         return gather(
             self._snapshot,
