--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -104,10 +104,10 @@
         with self._lock:
             self.in_flight += 1
             closed = self._closed
+            if not closed:
+                self._jobs.put(job)
         if closed:
             self._end(job, NotRun(self.address, OutcomeTag.NOT_SENT, 'closed'))
-        else:
-            self._jobs.put(job)
 
     def close(self) -> None:
         """End the tasks once the queued attempts are through."""
--- a/basilwall/backend/pools.py
+++ b/basilwall/backend/pools.py
@@ -1,12 +1,15 @@
 """The pools of all searchers that the catalogues name.
 
 Pools follow the catalogue entries: a searcher that appears gets one, a
-searcher that no snapshot names any more loses it once its work is through.
+searcher that no snapshot names any more loses it once its work is through and
+no query is pinned to a snapshot that names it.
 """
 
 import random
 import threading
-from collections.abc import Collection
+from collections import Counter
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
 from itertools import chain
 
 from basilwall.backend.pool import SearcherPool
@@ -14,7 +17,7 @@
 from basilwall.parts.clock import Clock
 from basilwall.parts.departures import Departures
 from basilwall.parts.tasks import TaskGroup
-from basilwall.records.catalogue import Catalogue, Part
+from basilwall.records.catalogue import Catalogue, Part, Snapshot
 from basilwall.records.ids import SearcherAddress, ServiceName
 
 
@@ -36,22 +39,50 @@
         self._fleet_limit = fleet_limit
         self._source = source
         self._addresses_by_service: dict[ServiceName, set[SearcherAddress]] = {}
+        self._holds_by_address: Counter[SearcherAddress] = Counter()
+        self._retired: set[SearcherAddress] = set()
         self._lock = threading.Lock()
 
     def follow(self, catalogue: Catalogue) -> None:
         """Open and close pools so that they match a catalogue entry."""
         share = max(1, catalogue.connections // self._fleet_limit)
-        parts = chain.from_iterable(
-            snapshot.parts for snapshot in catalogue.snapshots
+        named = set(
+            chain.from_iterable(
+                _searchers_of(snapshot) for snapshot in catalogue.snapshots
+            ),
         )
-        named = set(chain.from_iterable(part.searchers for part in parts))
         with self._lock:
             for address in named - self.by_address.keys():
                 self._open(address, share)
             self._addresses_by_service[catalogue.service] = named
             wanted = set().union(*self._addresses_by_service.values())
-            for address in self.by_address.keys() - wanted:
-                self.by_address.pop(address).close()
+            self._retired = self.by_address.keys() - wanted
+            self._close_unheld(self._retired)
+
+    @contextmanager
+    def holding(self, snapshot: Snapshot) -> Iterator[None]:
+        """Keep the pools of a snapshot for the length of a block.
+
+        Args:
+            snapshot: The snapshot that a query is pinned to.
+
+        Yields:
+            Nothing.
+        """
+        addresses = _searchers_of(snapshot)
+        with self._lock:
+            self._holds_by_address.update(addresses)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._holds_by_address -= Counter(addresses)
+                self._close_unheld(self._retired.intersection(addresses))
+
+    def reaches(self, address: SearcherAddress) -> bool:
+        """Return whether there is a pool whose searcher accepts."""
+        pool = self.by_address.get(address)
+        return pool is not None and pool.is_reachable
 
     def pick(
         self,
@@ -83,6 +114,14 @@
             for pool in self.by_address.values():
                 pool.close()
             self.by_address = {}
+            self._retired = set()
+
+    def _close_unheld(self, addresses: set[SearcherAddress]) -> None:
+        for address in tuple(addresses):
+            if address in self._holds_by_address:
+                continue
+            self._retired.discard(address)
+            self.by_address.pop(address).close()
 
     def _open(self, address: SearcherAddress, share: int) -> None:
         pool = SearcherPool(
@@ -93,3 +132,9 @@
         )
         self.by_address[address] = pool
         pool.start(self._tasks)
+
+
+def _searchers_of(snapshot: Snapshot) -> tuple[SearcherAddress, ...]:
+    return tuple(
+        chain.from_iterable(part.searchers for part in snapshot.parts),
+    )
--- /dev/null
+++ b/basilwall/parts/sightings_test.py
@@ -0,0 +1,27 @@
+"""What is remembered of searchers ends by age and by number."""
+
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.sightings import Sightings
+
+
+def test_a_sighting_is_believed_for_a_while_and_renewed():
+    clock = ManualClock()
+    sightings = Sightings(clock, belief=10)
+    sightings.note('a', ('s1',))
+    assert sightings.lacks('a', 's2')
+    assert not sightings.lacks('a', 's1')
+    assert not sightings.lacks('b', 's2')
+    clock.advance(9)
+    sightings.note('a', ('s1',))
+    clock.advance(9)
+    assert sightings.lacks('a', 's2')
+    clock.advance(1)
+    assert not sightings.lacks('a', 's2')
+
+
+def test_the_oldest_sighting_makes_room():
+    sightings = Sightings(ManualClock(), max_searchers=2)
+    for address in 'abca':
+        sightings.note(address, (), 's1')
+    assert len(sightings) == 2
+    assert [sightings.lacks(one, 's1') for one in 'abc'] == [True, False, True]
--- /dev/null
+++ b/basilwall/query/fakes_test.py
@@ -0,0 +1,240 @@
+"""Small fakes for queries: searchers in memory and time that jumps."""
+
+import heapq
+import itertools
+import json
+import random
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+
+from basilwall.backend.pools import SearcherPools
+from basilwall.backend.replies import RawReply, ReplyError, read_reply
+from basilwall.parts.attempt_ids import AttemptIds
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.departures import Departures
+from basilwall.parts.sightings import Sightings
+from basilwall.platform.state import PlatformState
+from basilwall.query.inbox import Inbox
+from basilwall.query.pinning import Pinning
+from basilwall.query.policy import Policies
+from basilwall.query.progress import Query
+from basilwall.query.runner import QueryRunner
+from basilwall.query.sending import Backends
+from basilwall.records.attempt import MayHaveRun, NotRun, OutcomeTag
+from basilwall.records.catalogue import Catalogue, Part, Snapshot
+
+SERVICE = 'depot-desk'
+START = ManualClock().monotonic()
+#: When a late reply comes, in seconds: after the hedge.
+LATE = 0.06
+STATUS = defaultdict(lambda: 503, answered=200)
+
+
+def make_snapshot(name, instances, searchers, records=4):
+    """Return a snapshot whose parts get `searchers` in turn."""
+    parts = [
+        Part(
+            f'{SERVICE}-{place}',
+            tuple(searchers[place::instances]),
+            records + place,
+        )
+        for place in range(instances)
+    ]
+    return Snapshot(name, tuple(parts))
+
+
+@dataclass
+class Searcher:
+    """One searcher; `mode` says what goes wrong with its replies."""
+
+    serves: list[str]
+    mode: str = 'normal'
+    latency: float = 0.002
+    is_up: bool = True
+    former_body: bytes = b''
+
+
+@dataclass(eq=False)
+class FakePool:
+    """Stands for the connections to one searcher."""
+
+    world: 'World'
+    address: str
+    cost: float = 0
+
+    @property
+    def is_reachable(self):
+        return self.world.by_address[self.address].is_up
+
+    def close(self):
+        """End nothing: there are no tasks."""
+
+    def submit(self, job):
+        self.world.arrive(self.address, job)
+
+
+class FakePools(SearcherPools):
+    """The real book-keeping over fake pools."""
+
+    def __init__(self, world):
+        super().__init__(None, world.clock, world.departures, 1, world.source)
+        self._world = world
+
+    def _open(self, address, share):
+        self.by_address[address] = FakePool(self._world, address)
+
+
+class FakeInbox(Inbox):
+    """Moves the clock to what happens next in place of waiting."""
+
+    def __init__(self, world):
+        self._world = world
+        self._arrived = deque()
+
+    def put(self, job, outcome):
+        self._arrived.append((job, outcome))
+
+    def take(self, wait):
+        end = self._world.clock.monotonic() + wait
+        moving = True
+        while moving and not self._arrived:
+            moving = self._world.step(end)
+        return self._arrived.popleft() if self._arrived else None
+
+
+@dataclass
+class World:
+    """All searchers, what is published, and what happens when."""
+
+    by_address: dict[str, Searcher] = field(default_factory=dict)
+    clock: ManualClock = field(default_factory=ManualClock)
+    source: random.Random = field(default_factory=lambda: random.Random(1))
+
+    def __post_init__(self):
+        self.departures = Departures(self.clock, 'fake')
+        self.sightings = Sightings(self.clock)
+        self.state = PlatformState()
+        self.pools = FakePools(self)
+        self.ran = []
+        self.attempt_ids = set()
+        self.session = []
+        self._agenda = []
+        self._numbers = itertools.count()
+        backends = Backends(
+            self.pools,
+            self.sightings,
+            AttemptIds('fake'),
+            self.clock,
+            lambda: FakeInbox(self),
+        )
+        self.runner = QueryRunner(
+            Pinning(self.state, self.pools, self.departures, self.sightings),
+            Policies(),
+            backends,
+        )
+
+    def publish(self, *snapshots):
+        catalogue = Catalogue(SERVICE, snapshots)
+        self.state.catalogue_by_service[SERVICE] = catalogue
+        self.pools.follow(catalogue)
+        self.log(
+            'platform', 'publishes', *[one.snapshot_id for one in snapshots]
+        )
+
+    def log(self, who, *what):
+        """Write a line of the session, with the time it happened."""
+        at = round((self.clock.monotonic() - START) * 1000, 3)
+        self.session.append(f'{at:8} ms  {who:12} {" ".join(what)}')
+
+    def ask(self, token, document, timeout):
+        """Run one query to its end."""
+        deadline = self.clock.monotonic() + timeout
+        query = Query('same-id', SERVICE, json.dumps(token).encode(), deadline)
+        return self.runner.run(query, document)
+
+    def later(self, seconds, action):
+        """Let something happen when the clock gets there."""
+        at = self.clock.monotonic() + seconds
+        heapq.heappush(self._agenda, (at, next(self._numbers), action))
+
+    def step(self, end):
+        """Do what happens next, up to a moment; False at that moment."""
+        due = self._agenda[0][0] if self._agenda else end + 1
+        now = self.clock.monotonic()
+        self.clock.advance(max(min(due, end) - now, 0))
+        if due > end:
+            return False
+        heapq.heappop(self._agenda)[-1]()
+        return True
+
+    def run_out(self):
+        """Do all that is still to happen."""
+        moving = True
+        while moving:
+            moving = self.step(self.clock.monotonic() + 60)
+
+    def arrive(self, address, job):
+        searcher, request = self.by_address[address], job.request
+        assert request.attempt_id not in self.attempt_ids
+        self.attempt_ids.add(request.attempt_id)
+        job.searcher, job.sent_at = address, self.clock.monotonic()
+        self.log(address, 'gets', request.attempt_id, request.snapshot)
+        if not searcher.is_up:
+            lost = NotRun(address, OutcomeTag.NOT_SENT, 'refused')
+            self.later(0, lambda: job.deliver(job, lost))
+        elif searcher.mode != 'silent':
+            late = searcher.mode == 'late'
+            body = self._body(searcher, request)
+            self.later(
+                LATE if late else searcher.latency,
+                lambda: self._reply(address, job, body),
+            )
+
+    def _reply(self, address, job, body):
+        searcher = self.by_address[address]
+        sent = body
+        if searcher.mode == 'swapped' and searcher.former_body:
+            sent = searcher.former_body
+        elif searcher.mode == 'cut':
+            sent = body[: len(body) // 2]
+        searcher.former_body = body
+        self.log(address, 'replies', sent.decode())
+        try:
+            outcome = read_reply(
+                address,
+                job.request,
+                RawReply(STATUS[json.loads(body)['outcome']], sent),
+            )
+        except ReplyError as error:
+            outcome = MayHaveRun(address, error.tag, str(error))
+        for _ in range(1 + (searcher.mode == 'doubled')):
+            job.deliver(job, outcome)
+
+    def _body(self, searcher, request):
+        mode, wanted = searcher.mode, request.snapshot
+        serves = [] if mode == 'mute' else searcher.serves
+        reply = {'attempt_id': request.attempt_id, 'serves': serves}
+        if mode == 'shed' or not searcher.serves:
+            return json.dumps(reply | {'outcome': 'shed'}).encode()
+        used = wanted if wanted in searcher.serves else searcher.serves[0]
+        if used != wanted and mode != 'older':
+            return json.dumps(reply | {'outcome': 'wrong_snapshot'}).encode()
+        self.ran.append(request.body)
+        held = self.held(used, request.instance)
+        found = held[: {'partial': 1, 'empty': 0}.get(mode, len(held))]
+        reply |= {
+            'outcome': 'answered',
+            'snapshot': used,
+            'records': [
+                [used, request.instance, place, json.loads(request.body)]
+                for place in found
+            ],
+            'covered': len(held if mode == 'empty' else found),
+            'total': 0 if mode == 'empty' else len(held),
+        }
+        return json.dumps(reply).encode()
+
+    def held(self, snapshot, instance):
+        """Return the places of the records that an instance holds."""
+        number = int(instance.rpartition('-')[2])
+        return list(range(4 + number))
--- a/basilwall/query/progress.py
+++ b/basilwall/query/progress.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from basilwall.backend.pool import AttemptJob
 from basilwall.records.answer import Coverage, MissingPart, MissingReason
@@ -34,58 +34,93 @@
     tried: set[SearcherAddress] = field(default_factory=set)
     answer: Answered | None = None
     reason: MissingReason = MissingReason.NO_SEARCHER
+    has_ended: bool = False
+
+    @property
+    def size(self) -> int:
+        """The records of the part: the higher of two counts."""
+        answered = self.answer.total if self.answer else 0
+        return max(self.part.records, answered)
+
+    @property
+    def covered(self) -> int:
+        """The records that were looked at."""
+        if self.answer is None:
+            return 0
+        return min(self.answer.covered, self.answer.total)
+
+    @property
+    def is_whole(self) -> bool:
+        """True if the answer stands for all records of the part."""
+        return self.answer is not None and self.covered == self.size
 
 
 @dataclass(frozen=True, slots=True)
 class Gathered:
-    """What a scatter brought together."""
+    """What a scatter brought together.
+
+    `stopped_for` is the snapshot that serves the query better, if the scatter
+    ended early for it.
+    """
 
     answers: tuple[Answered, ...]
     coverage: Coverage
     attempts: int
     may_have_run: bool
+    stopped_for: Snapshot | None = None
 
 
 def gather(
     snapshot: Snapshot,
     ended: Sequence[PartProgress],
-    attempts: int,
-    may_have_run: bool,
-) -> Gathered:
+) -> tuple[tuple[Answered, ...], Coverage]:
     """Add up the parts of a query that has ended.
 
     Args:
         snapshot: The pinned snapshot.
         ended: The progress of each of its parts.
-        attempts: How many attempts were sent.
-        may_have_run: Whether any of them may have run.
 
     Returns:
-        The answers with their coverage.
+        The answers, and how much of the snapshot they cover.
     """
     answers = tuple(
         progress.answer for progress in ended if progress.answer is not None
     )
-    full = sum(answer.covered >= answer.total for answer in answers)
+    missing = tuple(_missing(ended))
     coverage = Coverage(
-        answered=full,
+        answered=len(snapshot.parts) - len(missing),
         total=len(snapshot.parts),
-        records_covered=sum(answer.covered for answer in answers),
-        records_total=sum(part.records for part in snapshot.parts),
-        missing=tuple(_missing(ended)),
+        records_covered=sum(progress.covered for progress in ended),
+        records_total=sum(progress.size for progress in ended),
+        missing=missing,
     )
-    return Gathered(answers, coverage, attempts, may_have_run)
+    return answers, coverage
+
+
+def highest_fraction(
+    snapshot: Snapshot,
+    ended: Sequence[PartProgress],
+    still_open: Iterable[PartProgress],
+) -> float:
+    """Return the coverage that is reached if all open parts answer in full."""
+    open_records = sum(progress.part.records for progress in still_open)
+    _, coverage = gather(snapshot, ended)
+    return replace(
+        coverage,
+        records_covered=coverage.records_covered + open_records,
+        records_total=coverage.records_total + open_records,
+    ).fraction
 
 
 def _missing(ended: Iterable[PartProgress]) -> Iterator[MissingPart]:
     for progress in ended:
-        part, answer = progress.part, progress.answer
-        if answer is None:
-            yield MissingPart(part.instance, progress.reason, part.records)
-        elif answer.covered < answer.total:
-            lacking = answer.total - answer.covered
-            yield MissingPart(
-                part.instance,
-                MissingReason.PARTIAL,
-                lacking,
-            )
+        if progress.is_whole:
+            continue
+        reason = progress.reason
+        if progress.answer is not None:
+            reason = MissingReason.PARTIAL
+        yield MissingPart(
+            progress.part.instance,
+            reason,
+            progress.size - progress.covered,
+        )
--- a/basilwall/query/runner.py
+++ b/basilwall/query/runner.py
@@ -1,12 +1,13 @@
 """Run one query for a caller: pin a snapshot, scatter, judge the coverage."""
 
-from basilwall.backend.pools import SearcherPools
+from dataclasses import replace
+
 from basilwall.document.model import Document
-from basilwall.parts.clock import Clock
-from basilwall.platform.state import PlatformState
-from basilwall.query.policy import Policies
+from basilwall.query.pinning import Pinning
+from basilwall.query.policy import Policies, ServicePolicy
 from basilwall.query.progress import Gathered, Query
 from basilwall.query.scatter import Scatter
+from basilwall.query.sending import Backends
 from basilwall.records.answer import QueryAnswer, Refusal, RefusalReason
 from basilwall.records.catalogue import Snapshot
 
@@ -19,15 +20,13 @@
 
     def __init__(
         self,
-        state: PlatformState,
-        pools: SearcherPools,
+        pinning: Pinning,
         policies: Policies,
-        clock: Clock,
+        backends: Backends,
     ) -> None:
-        self._state = state
-        self._pools = pools
+        self._pinning = pinning
         self._policies = policies
-        self._clock = clock
+        self._backends = backends
 
     def run(self, query: Query, document: Document) -> QueryAnswer | Refusal:
         """Answer one query.
@@ -39,28 +38,69 @@
         Returns:
             An answer from one snapshot, or a refusal at once.
         """
-        snapshot = self._pin(query)
-        if snapshot is None:
+        pin = self._pinning.pin(query.service)
+        if pin is None:
             return Refusal(
                 query.request_id,
                 RefusalReason.NO_SNAPSHOT,
                 RETRY_AFTER_MS,
             )
         policy = self._policies.of(document)
-        scatter = Scatter(
+        first = self._scatter(query, pin.snapshot, policy, may_restart=True)
+        if first.stopped_for is None:
+            return _judge(query, pin.snapshot, document, first)
+        second = self._scatter(
             query,
-            snapshot,
+            first.stopped_for,
             policy,
-            self._pools,
-            self._clock,
+            may_restart=False,
+        )
+        return _judge(
+            query,
+            first.stopped_for,
+            document,
+            replace(
+                second,
+                attempts=first.attempts + second.attempts,
+                may_have_run=first.may_have_run or second.may_have_run,
+            ),
         )
-        return _judge(query, snapshot, document, scatter.run())
 
-    def _pin(self, query: Query) -> Snapshot | None:
-        catalogue = self._state.catalogue_by_service.get(query.service)
-        if catalogue is None or not catalogue.snapshots:
+    def _scatter(
+        self,
+        query: Query,
+        snapshot: Snapshot,
+        policy: ServicePolicy,
+        *,
+        may_restart: bool,
+    ) -> Gathered:
+        def better_snapshot() -> Snapshot | None:
+            if not may_restart:
+                return None
+            return self._better(query, snapshot, policy)
+
+        return Scatter(
+            query,
+            snapshot,
+            policy,
+            self._backends,
+            better_snapshot,
+        ).run()
+
+    def _better(
+        self,
+        query: Query,
+        snapshot: Snapshot,
+        policy: ServicePolicy,
+    ) -> Snapshot | None:
+        """Return the snapshot to start again on, if the time allows."""
+        left = query.deadline - self._backends.clock.monotonic()
+        if left < policy.hedge.delay:
+            return None
+        pin = self._pinning.pin(query.service)
+        if pin is None or not pin.whole or pin.snapshot is snapshot:
             return None
-        return catalogue.snapshots[0]
+        return pin.snapshot
 
 
 def _judge(
--- /dev/null
+++ b/basilwall/query/runner_test.py
@@ -0,0 +1,288 @@
+"""Queries over searchers that go wrong, against what they really held."""
+
+import json
+from itertools import chain
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from basilwall.document.model import Document
+from basilwall.query.fakes_test import SERVICE, Searcher, World, make_snapshot
+from basilwall.records.answer import MissingReason, QueryAnswer, RefusalReason
+from basilwall.records.catalogue import Snapshot
+
+ADDRESSES = [f'127.0.0.1:{port}' for port in range(1, 10)]
+MODES = (
+    'normal',
+    'late',
+    'silent',
+    'cut',
+    'doubled',
+    'swapped',
+    'older',
+    'partial',
+    'empty',
+    'shed',
+    'mute',
+)
+addresses = st.sampled_from(ADDRESSES)
+delays = st.sampled_from([0, 0.001, 0.003, 0.02])
+
+
+def make_world(serves=('s1',), searchers=ADDRESSES):
+    world = World({one: Searcher(list(serves)) for one in searchers})
+    world.publish(make_snapshot('s1', 3, ADDRESSES))
+    return world
+
+
+def ask(world, timeout=0.1, **document):
+    return world.ask('me', Document(service=SERVICE, **document), timeout)
+
+
+def check_answer(answer, parts, token):
+    """Hold an answer against the map of the snapshot that it names."""
+    coverage = answer.coverage
+    places_by_instance = {part.instance: [] for part in parts}
+    for snapshot, instance, place, echo in json.loads(answer.records):
+        assert (snapshot, echo) == (answer.snapshot, token)
+        places_by_instance[instance].append(place)
+    missing_by_instance = {part.instance: part for part in coverage.missing}
+    assert len(missing_by_instance) == len(coverage.missing)
+    for part in parts:
+        found = places_by_instance[part.instance]
+        missing = missing_by_instance.pop(part.instance, None)
+        assert found == list(range(len(found)))
+        lacking = missing.records if missing else 0
+        assert len(found) + lacking == part.records
+        assert missing is None or not found or missing.is_partial
+    assert not missing_by_instance
+    assert coverage.total == len(parts)
+    assert coverage.answered == len(parts) - len(coverage.missing)
+    assert coverage.records_total == sum(part.records for part in parts)
+    found_by_all = sum(map(len, places_by_instance.values()))
+    assert coverage.records_covered == found_by_all
+    assert coverage.complete == (found_by_all == coverage.records_total)
+
+
+class Queries(RuleBasedStateMachine):
+    """Whatever goes wrong, an answer is one snapshot's, whole and own."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = make_world()
+        self.published = [make_snapshot('s1', 3, ADDRESSES)]
+        self.parts_by_snapshot = {'s1': self.published[0].parts}
+        self.count = 0
+
+    @rule(
+        timeout=st.sampled_from([0.01, 0.1, 2]),
+        tolerated=st.sampled_from([0, 0.5, 1]),
+        extra_load=st.sampled_from([0, 0.5]),
+        others=st.lists(delays, max_size=2),
+    )
+    def query(self, timeout, tolerated, extra_load, others):
+        document = Document(
+            service=SERVICE,
+            tolerated_coverage=tolerated,
+            extra_load=extra_load,
+        )
+
+        def ask_one():
+            self._ask(document, timeout)
+
+        for delay in others:
+            self.world.later(delay, ask_one)
+        ask_one()
+
+    def _ask(self, document, timeout):
+        self.count += 1
+        token, count = f'caller-{self.count}', self.count
+        started = self.world.clock.monotonic()
+        outcome = self.world.ask(token, document, timeout)
+        # A query that ran within this one held up its thread.
+        if self.count == count:
+            took = self.world.clock.monotonic() - started
+            assert took <= timeout + 1e-9
+        tolerated = document.tolerated_coverage
+        if isinstance(outcome, QueryAnswer):
+            parts = self.parts_by_snapshot[outcome.snapshot]
+            check_answer(outcome, parts, token)
+            assert outcome.coverage.fraction >= tolerated
+        else:
+            assert outcome.reason is RefusalReason.LOW_COVERAGE
+            assert outcome.coverage.fraction < tolerated
+            assert outcome.retry_after_ms > 0
+            ran = json.dumps(token).encode() in self.world.ran
+            assert outcome.ran or not ran
+        return outcome
+
+    @precondition(lambda machine: len(machine.parts_by_snapshot) < 5)
+    @rule(instances=st.sampled_from([2, 3, 4]), delay=delays)
+    def publish(self, instances, delay):
+        name = f's{len(self.parts_by_snapshot) + 1}'
+        snapshot = make_snapshot(name, instances, ADDRESSES[instances - 2 :])
+        self.parts_by_snapshot[name] = snapshot.parts
+        self.published = [snapshot, self.published[0]]
+        self.world.later(delay, lambda: self.world.publish(*self.published))
+
+    @rule(delay=delays)
+    def drop_former(self, delay):
+        self.published = self.published[:1]
+        self.world.later(delay, lambda: self.world.publish(*self.published))
+
+    @rule(address=addresses, keep=st.booleans(), delay=delays)
+    def load_newest(self, address, keep, delay):
+        searcher = self.world.by_address[address]
+        newest = self.published[0].snapshot_id
+
+        def load():
+            former = searcher.serves if keep else []
+            searcher.serves = [newest, *former][:2]
+
+        self.world.later(delay, load)
+
+    @rule(address=addresses, mode=st.sampled_from(MODES), delay=delays)
+    def spoil(self, address, mode, delay):
+        searcher = self.world.by_address[address]
+        self.world.later(delay, lambda: setattr(searcher, 'mode', mode))
+
+    @rule(address=addresses, is_up=st.booleans(), delay=delays)
+    def lose(self, address, is_up, delay):
+        searcher = self.world.by_address[address]
+        self.world.later(delay, lambda: setattr(searcher, 'is_up', is_up))
+
+    @rule()
+    def settle(self):
+        """Once all is well again, answers are complete and the newest."""
+        self.world.run_out()
+        newest = self.published[0].snapshot_id
+        for searcher in self.world.by_address.values():
+            searcher.mode, searcher.is_up = 'normal', True
+            searcher.serves = [newest]
+        self.world.publish(*self.published)
+        outcome = self._ask(Document(service=SERVICE), 0.1)
+        assert outcome.snapshot == newest
+        assert outcome.coverage.complete
+
+    @invariant()
+    def pools_are_those_of_the_catalogue(self):
+        catalogue = self.world.state.catalogue_by_service[SERVICE]
+        parts = chain.from_iterable(one.parts for one in catalogue.snapshots)
+        named = chain.from_iterable(part.searchers for part in parts)
+        assert self.world.pools.by_address.keys() == set(named)
+
+
+TestQueries = Queries.TestCase
+TestQueries.settings = settings(TestQueries.settings, deadline=None)
+
+
+def test_a_roll_over_keeps_the_former_snapshot_until_all_serve_the_newer():
+    world = make_world()
+    former, newer = (make_snapshot(name, 3, ADDRESSES) for name in ('s1', 's2'))
+    ask(world)
+    world.publish(newer, former)
+    seen = []
+    for address in ADDRESSES:
+        answer = ask(world)
+        seen.append((answer.snapshot, answer.coverage.complete))
+        world.by_address[address].serves = ['s2', 's1']
+    assert seen[0] == ('s1', True)
+    assert all(complete for _, complete in seen)
+    for _ in range(9):
+        answer = ask(world)
+    assert answer.snapshot == 's2'
+
+
+def test_a_snapshot_that_vanishes_is_left_for_the_newer_once():
+    world = make_world()
+    newer = make_snapshot('s2', 2, ADDRESSES)
+    ask(world)
+
+    def roll():
+        for searcher in world.by_address.values():
+            searcher.serves = ['s2']
+        world.publish(newer)
+
+    world.publish(make_snapshot('s1', 3, ADDRESSES))
+    for searcher in world.by_address.values():
+        searcher.serves = ['s0']
+    world.later(0.001, roll)
+    answer = ask(world)
+    assert (answer.snapshot, answer.coverage.complete) == ('s2', True)
+    assert answer.attempts > len(newer.parts)
+
+
+@pytest.mark.parametrize(
+    ('mode', 'reason'),
+    [
+        ('silent', MissingReason.DEADLINE),
+        ('cut', MissingReason.LOST),
+        ('older', MissingReason.WRONG_SNAPSHOT),
+        ('shed', MissingReason.OVERLOADED),
+        ('empty', MissingReason.PARTIAL),
+    ],
+)
+def test_a_missing_part_is_named_with_its_reason(mode, reason):
+    world = make_world()
+    for address in ADDRESSES[::3]:
+        world.by_address[address].mode = mode
+        if mode == 'older':
+            world.by_address[address].serves = ['s0']
+    answer = ask(world, tolerated_coverage=0)
+    missing = answer.coverage.missing[0]
+    assert (missing.reason, missing.records) == (reason, 4)
+    assert (answer.coverage.answered, answer.coverage.total) == (2, 3)
+
+
+def test_lost_coverage_is_refused_at_once():
+    world = make_world()
+    for address in ADDRESSES[::3]:
+        world.by_address[address].mode = 'cut'
+    world.by_address[ADDRESSES[1]].mode = 'silent'
+    started = world.clock.monotonic()
+    refusal = ask(world, timeout=50, deadline_ms=50_000, extra_load=0)
+    assert refusal.reason is RefusalReason.LOW_COVERAGE
+    assert world.clock.monotonic() - started < 1
+
+
+def test_no_partition_map_is_no_complete_answer():
+    world = make_world()
+    world.publish(Snapshot('s2', ()))
+    refusal = ask(world, tolerated_coverage=0)
+    assert refusal.reason is RefusalReason.NO_SNAPSHOT
+
+
+@pytest.mark.parametrize('mode', ['normal', 'mute'])
+def test_a_searcher_known_to_lack_the_snapshot_is_not_asked(mode):
+    world = make_world()
+    lacking = world.by_address[ADDRESSES[0]]
+    lacking.serves, lacking.mode = ['s0'], mode
+    for _ in range(9):
+        ask(world)
+    assert ask(world).coverage.complete
+    assert {ask(world).attempts for _ in range(9)} == {3}
+
+
+def test_a_query_keeps_the_pools_of_the_snapshot_it_is_pinned_to():
+    world = make_world()
+    world.by_address['9:9'] = Searcher(['s2'])
+    newer = make_snapshot('s2', 1, ['9:9'])
+    for address in ADDRESSES:
+        world.by_address[address].mode = 'shed'
+
+    def publish():
+        world.publish(newer)
+        for address in ADDRESSES:
+            world.by_address[address].mode = 'normal'
+
+    world.later(0.001, publish)
+    answer = ask(world)
+    assert (answer.snapshot, answer.coverage.complete) == ('s1', True)
+    assert world.pools.by_address.keys() == {'9:9'}
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -5,122 +5,125 @@
 can come of waiting.
 """
 
-import queue
+from collections.abc import Callable
 
 from basilwall.backend.pool import AttemptJob
-from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
-from basilwall.parts.clock import Clock
 from basilwall.query.policy import ServicePolicy
-from basilwall.query.progress import Gathered, PartProgress, Query, gather
+from basilwall.query.progress import (
+    Gathered,
+    PartProgress,
+    Query,
+    gather,
+    highest_fraction,
+)
+from basilwall.query.sending import Backends, Sender
 from basilwall.records.answer import MissingReason
 from basilwall.records.attempt import (
     Answered,
     AttemptOutcome,
-    AttemptRequest,
     MayHaveRun,
     RequestKind,
 )
-from basilwall.records.catalogue import Part, Snapshot
-from basilwall.records.ids import (
-    AttemptId,
-)
+from basilwall.records.catalogue import Snapshot
 
-_Event = tuple[AttemptJob, AttemptOutcome]
+#: Reasons that another snapshot may not share.
+SNAPSHOT_REASONS = frozenset(
+    (MissingReason.WRONG_SNAPSHOT, MissingReason.NO_SEARCHER),
+)
 
 
 class Scatter:
-    """One query over the parts of one snapshot."""
+    """One query over the parts of one snapshot.
+
+    `better_snapshot` is asked when a part can't be had from this snapshot; if
+    it names another one, the scatter ends at once.
+    """
 
     def __init__(
         self,
         query: Query,
         snapshot: Snapshot,
         policy: ServicePolicy,
-        pools: SearcherPools,
-        clock: Clock,
+        backends: Backends,
+        better_snapshot: Callable[[], Snapshot | None],
     ) -> None:
         self._query = query
         self._snapshot = snapshot
         self._policy = policy
-        self._pools = pools
-        self._clock = clock
-        self._inbox: queue.SimpleQueue[_Event] = queue.SimpleQueue()
+        self._backends = backends
+        self._better_snapshot = better_snapshot
+        self._clock = backends.clock
+        self._inbox = backends.make_inbox()
+        self._sender = Sender(query, snapshot, backends, self._inbox)
         self._progress_by_job: dict[AttemptJob, PartProgress] = {}
         self._open: list[PartProgress] = []
         self._ended: list[PartProgress] = []
         self._may_have_run = False
         self._attempts = 0
+        self._is_hopeless = False
+        self._stopped_for: Snapshot | None = None
 
     def run(self) -> Gathered:
         """Send to every part and gather until nothing more can come.
 
         Returns:
-            All that was gathered, at the deadline at the latest.
+            All that was gathered: once every part has ended, once the
+            tolerated coverage is out of reach, or at the deadline.
         """
-        self._send_first()
-        while self._open:
-            now = self._clock.monotonic()
-            if now >= self._query.deadline:
-                break
-            event = self._next_event(now)
-            if event is None:
-                self._hedge(self._clock.monotonic())
-            else:
-                self._take(*event)
-        self._give_up_open()
-        return gather(
-            self._snapshot,
-            self._ended,
+        with self._backends.pools.holding(self._snapshot):
+            self._send_first()
+            while self._open and not self._has_stopped:
+                now = self._clock.monotonic()
+                if now >= self._query.deadline:
+                    break
+                self._wait(now)
+            self._give_up_open()
+        answers, coverage = gather(self._snapshot, self._ended)
+        return Gathered(
+            answers,
+            coverage,
             self._attempts,
             self._may_have_run,
+            self._stopped_for,
         )
 
+    @property
+    def _has_stopped(self) -> bool:
+        return self._is_hopeless or self._stopped_for is not None
+
     def _send_first(self) -> None:
         hedge_at = self._clock.monotonic() + self._policy.hedge.delay
         self._policy.budget.earn(len(self._snapshot.parts))
-        for part in self._snapshot.parts:
-            progress = PartProgress(part, hedge_at)
-            if self._send(progress):
-                self._open.append(progress)
-            else:
-                self._ended.append(progress)
+        self._open = [
+            PartProgress(part, hedge_at) for part in self._snapshot.parts
+        ]
+        for progress in tuple(self._open):
+            if not self._send(progress):
+                self._end(progress)
+            if self._has_stopped:
+                break
 
     def _send(self, progress: PartProgress) -> bool:
-        pool = self._pools.pick(progress.part, progress.tried)
+        pool = self._sender.pick(progress)
         if pool is None:
             return False
         self._attempts += 1
-        job = AttemptJob(self._request(progress.part), self._deliver)
+        job = self._sender.make_job(progress.part)
         progress.tried.add(pool.address)
         progress.jobs.append(job)
         self._progress_by_job[job] = progress
         pool.submit(job)
         return True
 
-    def _request(self, part: Part) -> AttemptRequest:
-        number = self._attempts
-        return AttemptRequest(
-            service=self._query.service,
-            instance=part.instance,
-            kind=RequestKind.IDEMPOTENT,
-            request_id=self._query.request_id,
-            attempt_id=AttemptId(f'{self._query.request_id}.{number}'),
-            snapshot=self._snapshot.snapshot_id,
-            body=self._query.body,
-            deadline=self._query.deadline,
-        )
-
-    def _deliver(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        self._inbox.put((job, outcome))
-
-    def _next_event(self, now: float) -> _Event | None:
+    def _wait(self, now: float) -> None:
         due = min(progress.hedge_at for progress in self._open)
         wait = min(due, self._query.deadline) - now
-        try:
-            return self._inbox.get(timeout=max(wait, 0))
-        except queue.Empty:
-            return None
+        event = self._inbox.take(wait)
+        if event is None:
+            self._hedge(self._clock.monotonic())
+        else:
+            self._take(*event)
 
     def _hedge(self, now: float) -> None:
         for progress in self._open:
@@ -132,10 +135,13 @@
                 self._send(progress)
 
     def _take(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        progress = self._progress_by_job.pop(job)
+        progress = self._progress_by_job.pop(job, None)
+        if progress is None:
+            return
         progress.jobs.remove(job)
         self._may_have_run |= isinstance(outcome, Answered | MayHaveRun)
-        if progress.answer is not None:
+        self._sender.note(outcome)
+        if progress.has_ended:
             return
         if isinstance(outcome, Answered):
             self._take_answer(progress, job, outcome)
@@ -175,13 +181,30 @@
             self._end(progress)
 
     def _end(self, progress: PartProgress) -> None:
+        self._close(progress)
+        if progress.answer is None and progress.reason in SNAPSHOT_REASONS:
+            self._stopped_for = self._better_snapshot()
+        if not progress.is_whole:
+            highest = highest_fraction(
+                self._snapshot,
+                self._ended,
+                self._open,
+            )
+            tolerated = self._policy.document.tolerated_coverage
+            self._is_hopeless = highest < tolerated
+
+    def _close(self, progress: PartProgress) -> None:
+        progress.has_ended = True
         self._open.remove(progress)
         self._ended.append(progress)
         for job in progress.jobs:
             job.cancel()
 
     def _give_up_open(self) -> None:
+        reason = MissingReason.DEADLINE
+        if self._has_stopped:
+            reason = MissingReason.GIVEN_UP
         for progress in tuple(self._open):
-            self._may_have_run = True
-            progress.reason = MissingReason.DEADLINE
-            self._end(progress)
+            self._may_have_run |= bool(progress.jobs)
+            progress.reason = reason
+            self._close(progress)
--- /dev/null
+++ b/basilwall/query/sending.py
@@ -0,0 +1,104 @@
+"""The attempts of one query, and what their replies say beside the answer.
+
+Every attempt carries the pinned snapshot and an identifier of its own. A
+searcher that is known to lack the snapshot is asked only if no other is left.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from basilwall.backend.pool import AttemptJob, SearcherPool
+from basilwall.backend.pools import SearcherPools
+from basilwall.parts.attempt_ids import AttemptIds
+from basilwall.parts.clock import Clock
+from basilwall.parts.sightings import Sightings
+from basilwall.query.inbox import Inbox
+from basilwall.query.progress import PartProgress, Query
+from basilwall.records.attempt import (
+    Answered,
+    AttemptOutcome,
+    AttemptRequest,
+    MayHaveRun,
+    OutcomeTag,
+    RequestKind,
+)
+from basilwall.records.catalogue import Part, Snapshot
+from basilwall.records.ids import SearcherAddress
+
+
+@dataclass(frozen=True, slots=True)
+class Backends:
+    """What every scatter sends with, and where it notes what replies say."""
+
+    pools: SearcherPools
+    sightings: Sightings
+    attempt_ids: AttemptIds
+    clock: Clock
+    make_inbox: Callable[[], Inbox] = Inbox
+
+
+class Sender:
+    """Makes the attempts of one query at one snapshot."""
+
+    def __init__(
+        self,
+        query: Query,
+        snapshot: Snapshot,
+        backends: Backends,
+        inbox: Inbox,
+    ) -> None:
+        self._query = query
+        self._snapshot = snapshot
+        self._backends = backends
+        self._inbox = inbox
+
+    def pick(self, progress: PartProgress) -> SearcherPool | None:
+        """Choose the searcher for the next attempt at a part."""
+        pick = self._backends.pools.pick
+        lacking = self._lacking(progress.part)
+        pool = pick(progress.part, progress.tried | lacking)
+        if pool is None and not progress.tried:
+            # What is known of them may be old, so one of them is asked.
+            return pick(progress.part, progress.tried)
+        return pool
+
+    def make_job(self, part: Part) -> AttemptJob:
+        """Return a new attempt at a part, not yet submitted."""
+        request = AttemptRequest(
+            service=self._query.service,
+            instance=part.instance,
+            kind=RequestKind.IDEMPOTENT,
+            request_id=self._query.request_id,
+            attempt_id=self._backends.attempt_ids.next(),
+            snapshot=self._snapshot.snapshot_id,
+            body=self._query.body,
+            deadline=self._query.deadline,
+        )
+        return AttemptJob(request, self._inbox.put)
+
+    def note(self, outcome: AttemptOutcome) -> None:
+        """Keep what a reply says of its searcher.
+
+        Args:
+            outcome: The outcome of an attempt at the pinned snapshot.
+        """
+        if isinstance(outcome, MayHaveRun):
+            return
+        wanted = self._snapshot.snapshot_id
+        denied = outcome.tag is OutcomeTag.WRONG_SNAPSHOT
+        if isinstance(outcome, Answered):
+            denied = outcome.snapshot != wanted
+        if outcome.serves or denied:
+            self._backends.sightings.note(
+                outcome.searcher,
+                outcome.serves,
+                wanted if denied else None,
+            )
+
+    def _lacking(self, part: Part) -> set[SearcherAddress]:
+        snapshot = self._snapshot.snapshot_id
+        return {
+            address
+            for address in part.searchers
+            if self._backends.sightings.lacks(address, snapshot)
+        }
--- a/basilwall/records/answer.py
+++ b/basilwall/records/answer.py
@@ -15,6 +15,7 @@
     WRONG_SNAPSHOT = 'wrong_snapshot'
     LOST = 'lost'
     PARTIAL = 'partial'
+    GIVEN_UP = 'given_up'
     QUARANTINED = 'quarantined'
 
 
@@ -26,13 +27,19 @@
     reason: MissingReason
     records: int = 0
 
+    @property
+    def is_partial(self) -> bool:
+        """True if the instance answered, for a part of its records only."""
+        return self.reason is MissingReason.PARTIAL
+
 
 @dataclass(frozen=True, slots=True)
 class Coverage:
     """How much of the pinned snapshot's partition map an answer covers.
 
     `answered` and `total` count parts; the two record counts are sums over
-    the parts, as the searchers and the catalogue state them.
+    the parts, each part as large as the catalogue or its searcher says,
+    whichever is more.
     """
 
     answered: int
@@ -44,12 +51,26 @@
     @property
     def complete(self) -> bool:
         """True if every part answered for all of its records."""
-        return self.answered == self.total and not self.missing
+        if self.total == 0 or self.missing:
+            return False
+        return self.answered == self.total
 
     @property
     def fraction(self) -> float:
-        """The share of parts that answered in full, from 0 to 1."""
-        return self.answered / max(self.total, 1)
+        """The share that is covered, from 0 to 1.
+
+        It is the lower of two: the share of parts that answered, and the
+        share of records that were looked at.
+        """
+        if self.total == 0:
+            return 0
+        if self.records_total == 0:
+            return self.answered / self.total
+        unanswered = sum(not part.is_partial for part in self.missing)
+        return min(
+            (self.total - unanswered) / self.total,
+            self.records_covered / self.records_total,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -25,6 +25,7 @@
 from basilwall.operators.reporting import Reporter
 from basilwall.order.desk import OrderDesk
 from basilwall.order.dispatch import OrderDispatcher
+from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import Clock, SystemClock
 from basilwall.parts.departures import Departures
 from basilwall.parts.handovers import Handovers
@@ -32,6 +33,7 @@
 from basilwall.parts.pauses import PauseWatch
 from basilwall.parts.quarantine import Quarantine
 from basilwall.parts.revisions import RevisionRegister
+from basilwall.parts.sightings import Sightings
 from basilwall.parts.tasks import TaskGroup, task_group
 from basilwall.parts.ticket_mint import TicketMint
 from basilwall.parts.tickets import TicketTable
@@ -45,8 +47,10 @@
 from basilwall.platform.settling import settle
 from basilwall.platform.state import PlatformState
 from basilwall.platform.watching import PlatformWatch
+from basilwall.query.pinning import Pinning
 from basilwall.query.policy import Policies
 from basilwall.query.runner import QueryRunner
+from basilwall.query.sending import Backends
 from basilwall.records.catalogue import Catalogue, PublishedValue, VmState
 from basilwall.records.ids import Incarnation, ServiceName, VmAddress
 from basilwall.settings.model import Settings
@@ -257,17 +261,26 @@
     )
 
 
+def _queries(core: Core, pools: SearcherPools) -> QueryRunner:
+    sightings = Sightings(core.clock)
+    return QueryRunner(
+        Pinning(core.state, pools, core.departures, sightings),
+        Policies(),
+        Backends(
+            pools,
+            sightings,
+            AttemptIds(core.membership.own.incarnation),
+            core.clock,
+        ),
+    )
+
+
 def _caller_service(
     core: Core,
     pools: SearcherPools,
     desk: OrderDesk,
 ) -> CallerService:
-    queries = QueryRunner(
-        core.state,
-        pools,
-        Policies(),
-        core.clock,
-    )
+    queries = _queries(core, pools)
     reporter = Reporter(
         PlatformReporter(core.register, core.watches, core.clock),
         core.membership,
