Tie each damage to its attempt in the connection test

Cause: a reply that was lost early let the next request overtake the former one at the test's server, which took damages in the order of arrival.

--- a/basilwall/backend/connection_test.py
+++ b/basilwall/backend/connection_test.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import queue
 import socket
 import struct
 import threading
@@ -136,10 +135,10 @@
 
 
 class Server:
-    """Answers each request with the next damage in line."""
+    """Answers each attempt with the damage that is set for it."""
 
     def __init__(self):
-        self.damages = queue.SimpleQueue()
+        self.damage_by_attempt = {}
         self.former = 'nobody'
         self.reached = threading.Event()
         self._listener = socket.create_server(('127.0.0.1', 0))
@@ -162,8 +161,11 @@
                 if attempt_id is None:
                     return
                 self.reached.set()
-                damage = self.damages.get()
-                if not self._reply(accepted, damage, attempt_id):
+                damage = self.damage_by_attempt.pop(attempt_id, None)
+                with contextlib.suppress(OSError):
+                    if damage and self._reply(accepted, damage, attempt_id):
+                        continue
+                if damage:
                     return
 
     def _read(self, stream):
@@ -217,9 +219,9 @@
     connection = SearcherConnection(server.address)
     before = ''
     for number, damage in enumerate(drawn):
-        server.damages.put(damage)
-        connection.open(TIMEOUT)
         request = request_of(f'{time.monotonic_ns()}.{number}')
+        server.damage_by_attempt[request.attempt_id] = damage
+        connection.open(TIMEOUT)
         outcome = connection.exchange(request, TIMEOUT)
         if isinstance(outcome, Answered):
             records = json.loads(outcome.records)
@@ -245,7 +247,7 @@
         body = reply_body(attempt_id, outcome=tag, serves=['s2'])
         accepted.sendall(with_length(body, status=503))
 
-    server.damages.put(Damage(refuse))
+    server.damage_by_attempt['a'] = Damage(refuse)
     outcome = connection.exchange(request_of('a'), TIMEOUT)
     assert isinstance(outcome, NotRun)
     assert (outcome.tag.value, outcome.serves) == (tag, ('s2',))
@@ -261,9 +263,9 @@
         )
         return True
 
-    server.damages.put(Damage('whole'))
+    server.damage_by_attempt['a'] = Damage('whole')
     assert isinstance(connection.exchange(request_of('a'), TIMEOUT), Answered)
-    server.damages.put(Damage(again_before_the_next))
+    server.damage_by_attempt['b'] = Damage(again_before_the_next)
     outcome = connection.exchange(request_of('b'), TIMEOUT)
     assert isinstance(outcome, MayHaveRun)
     assert not connection.is_open
@@ -275,11 +277,10 @@
 
     def trickle(accepted, attempt_id):
         for byte in with_length(reply_body(attempt_id)):
-            with contextlib.suppress(OSError):
-                accepted.sendall(bytes([byte]))
+            accepted.sendall(bytes([byte]))
             time.sleep(0.02)
 
-    server.damages.put(Damage(trickle))
+    server.damage_by_attempt['a'] = Damage(trickle)
     started = time.monotonic()
     outcome = connection.exchange(request_of('a'), 0.1)
     assert time.monotonic() - started < 1
@@ -291,12 +292,12 @@
     connection.open(TIMEOUT)
     first, second = request_of('first'), request_of('second')
     connection.carry(first)
-    server.damages.put(Damage('whole'))
+    server.damage_by_attempt['first'] = Damage('whole')
     assert isinstance(connection.exchange(first, TIMEOUT), Answered)
     connection.release()
     connection.carry(second)
     connection.abort(first)
-    server.damages.put(Damage('whole'))
+    server.damage_by_attempt['second'] = Damage('whole')
     assert isinstance(connection.exchange(second, TIMEOUT), Answered)
 
 
@@ -313,7 +314,6 @@
     started = time.monotonic()
     outcome = connection.exchange(request, TIMEOUT)
     aborter.join()
-    server.damages.put(Damage('cut'))
     assert time.monotonic() - started < TIMEOUT / 2
     assert outcome.tag is LOST
 
