--- a/basilwall/query/fakes_test.py
+++ b/basilwall/query/fakes_test.py
@@ -198,7 +198,6 @@
         elif searcher.mode == 'cut':
             sent = body[: len(body) // 2]
         searcher.former_body = body
-        self.log(address, 'replies', sent.decode())
         try:
             outcome = read_reply(
                 address,
@@ -207,6 +206,8 @@
             )
         except ReplyError as error:
             outcome = MayHaveRun(address, error.tag, str(error))
+        told = getattr(outcome, 'snapshot', None) or outcome.detail
+        self.log(address, 'replies', searcher.mode, outcome.tag.value, told)
         for _ in range(1 + (searcher.mode == 'doubled')):
             job.deliver(job, outcome)
 
--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -245,7 +245,8 @@
     world = make_world()
     for address in ADDRESSES[::3]:
         world.by_address[address].mode = 'cut'
-    world.by_address[ADDRESSES[1]].mode = 'silent'
+    for address in ADDRESSES[1::3]:
+        world.by_address[address].mode = 'silent'
     started = world.clock.monotonic()
     refusal = ask(world, timeout=50, deadline_ms=50_000, extra_load=0)
     assert refusal.reason is RefusalReason.LOW_COVERAGE
--- a/basilwall/standin/searcher.py
+++ b/basilwall/standin/searcher.py
@@ -260,7 +260,7 @@
     def _answer(self, record: RunRecord, body: bytes) -> bytes:
         switches = self.searcher.switches
         found = {
-            'instance': self.searcher.instance,
+            'instance': self.path.split('/')[-2],
             'snapshot': switches.claims or record.snapshot,
             'echo': msgspec.Raw(body or b'null'),
         }
