--- a/basilwall/query/canary.py
+++ b/basilwall/query/canary.py
@@ -6,19 +6,18 @@
 send it through many VMs at once lose one searcher and not one for each VM.
 """
 
-import queue
 import time
 from dataclasses import dataclass, field
 
 from basilwall.backend.pool import AttemptJob
-from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.backend.suspects import REFUSED, Content, Suspects
-from basilwall.parts.clock import Clock
 from basilwall.parts.quarantine import Suspicion
 from basilwall.query.candidates import Candidate, choose_alone
+from basilwall.query.inbox import Event
 from basilwall.query.policy import ServicePolicy
-from basilwall.query.progress import Query, attempt_at
+from basilwall.query.progress import Query
+from basilwall.query.sending import Backends, Better, Sender
 from basilwall.records.answer import MissingReason
 from basilwall.records.attempt import (
     Answered,
@@ -37,8 +36,6 @@
 #: Time for peers to tell why the chosen searcher is gone, in seconds.
 PAUSE_AFTER_REFUSED = 0.01
 
-_Event = tuple[AttemptJob, AttemptOutcome]
-
 
 @dataclass(slots=True)
 class Tried:
@@ -56,6 +53,7 @@
     ran_well: bool = False
     over: bool = False
     passed: bool = False
+    stopped_for: Snapshot | None = None
     reason: MissingReason = MissingReason.NO_SEARCHER
 
 
@@ -67,18 +65,20 @@
         query: Query,
         snapshot: Snapshot,
         policy: ServicePolicy,
-        pools: SearcherPools,
+        backends: Backends,
         suspects: Suspects,
-        clock: Clock,
+        better_snapshot: Better,
     ) -> None:
         self.tried = Tried()
         self._query = query
         self._snapshot = snapshot
         self._policy = policy
-        self._pools = pools
+        self._pools = backends.pools
         self._suspects = suspects
-        self._clock = clock
-        self._inbox: queue.SimpleQueue[_Event] = queue.SimpleQueue()
+        self._better_snapshot = better_snapshot
+        self._clock = backends.clock
+        self._inbox = backends.make_inbox()
+        self._sender = Sender(query, snapshot, backends, self._inbox)
         self._part_by_job: dict[AttemptJob, Part] = {}
 
     def run(self, content: Content) -> Tried:
@@ -145,6 +145,20 @@
             self._send(candidate)
 
     def _next(self, content: Content) -> Candidate | None:
+        lacking = set().union(
+            *map(self._sender.lacking, self._snapshot.parts),
+        )
+        candidate = self._choose(content, lacking)
+        if candidate is None and not self.tried.searchers:
+            # What is known of them may be old, so one of them is asked.
+            return self._choose(content, set())
+        return candidate
+
+    def _choose(
+        self,
+        content: Content,
+        lacking: set[SearcherAddress],
+    ) -> Candidate | None:
         parts = self._snapshot.parts
         struck = self._suspects.struck(content)
         under_strike = [part for part in parts if struck & set(part.searchers)]
@@ -158,7 +172,7 @@
                 group,
                 self._pools,
                 struck,
-                self.tried.searchers,
+                self.tried.searchers | lacking,
             )
             if candidate is not None:
                 return candidate
@@ -168,25 +182,13 @@
         tried = self.tried
         tried.attempts += 1
         tried.searchers.add(candidate.pool.address)
-        request = attempt_at(
-            self._query,
-            self._snapshot,
-            candidate.part,
-            tried.attempts,
-        )
-        job = AttemptJob(request, self._deliver)
+        job = self._sender.make_job(candidate.part)
         self._part_by_job[job] = candidate.part
         candidate.pool.submit(job)
 
-    def _deliver(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        self._inbox.put((job, outcome))
-
-    def _next_event(self, due: float) -> _Event | None:
+    def _next_event(self, due: float) -> Event | None:
         wait = max(due - self._clock.monotonic(), 0)
-        try:
-            return self._inbox.get(timeout=wait)
-        except queue.Empty:
-            return None
+        return self._inbox.take(1, wait)
 
     def _take(
         self,
@@ -198,13 +200,14 @@
         part = self._part_by_job.pop(job, None)
         if part is None:
             return False
+        self._sender.note(outcome)
         self._suspects.saw(content, part, job, outcome)
         tried = self.tried
         tried.may_have_run |= isinstance(outcome, Answered | MayHaveRun)
         if not isinstance(outcome, Answered):
             self._take_failure(outcome)
             return False
-        self._policy.hedge.observe(self._clock.monotonic() - job.sent_at)
+        self._policy.hedge.observe(job.ended_at - job.sent_at)
         tried.ran_well = True
         if outcome.snapshot == self._snapshot.snapshot_id:
             tried.answer_by_instance[part.instance] = outcome
@@ -214,6 +217,9 @@
         rule = RULE_BY_KIND_AND_TAG[RequestKind.IDEMPOTENT, outcome.tag]
         self.tried.reason = rule.missing
         self.tried.over |= not rule.again
+        if outcome.tag is OutcomeTag.WRONG_SNAPSHOT:
+            self.tried.stopped_for = self._better_snapshot()
+            self.tried.over |= self.tried.stopped_for is not None
         if outcome.tag is OutcomeTag.NOT_SENT:
             time.sleep(PAUSE_AFTER_REFUSED)
 
--- a/basilwall/query/runner.py
+++ b/basilwall/query/runner.py
@@ -1,15 +1,16 @@
 """Run one query for a caller: pin a snapshot, scatter, judge the coverage."""
 
-from basilwall.backend.pools import SearcherPools
+from dataclasses import dataclass, replace
+
 from basilwall.backend.suspects import REFUSED, Content, Suspects
 from basilwall.document.model import Document
-from basilwall.parts.clock import Clock
 from basilwall.parts.fingerprints import fingerprint
-from basilwall.platform.state import PlatformState
 from basilwall.query.canary import Canary, Tried
+from basilwall.query.pinning import Pin, Pinning
 from basilwall.query.policy import Policies, ServicePolicy
 from basilwall.query.progress import Gathered, PartProgress, Query, gather
 from basilwall.query.scatter import Scatter
+from basilwall.query.sending import Backends, Better
 from basilwall.query.watch import ContentWatch
 from basilwall.records.answer import QueryAnswer, Refusal, RefusalReason
 from basilwall.records.catalogue import Snapshot
@@ -19,22 +20,29 @@
 KIND = 'query'
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """One query with what is known of it before it is sent."""
+
+    query: Query
+    content: Content
+    policy: ServicePolicy
+
+
 class QueryRunner:
     """Answers queries on the thread of their caller."""
 
     def __init__(
         self,
-        state: PlatformState,
-        pools: SearcherPools,
+        pinning: Pinning,
         policies: Policies,
+        backends: Backends,
         suspects: Suspects,
-        clock: Clock,
     ) -> None:
-        self._state = state
-        self._pools = pools
+        self._pinning = pinning
         self._policies = policies
+        self._backends = backends
         self._suspects = suspects
-        self._clock = clock
 
     def run(self, query: Query, document: Document) -> QueryAnswer | Refusal:
         """Answer one query.
@@ -46,82 +54,109 @@
         Returns:
             An answer from one snapshot, or a refusal at once.
         """
-        snapshot = self._pin(query)
-        if snapshot is None:
+        pin = self._pinning.pin(query.service)
+        if pin is None:
             return Refusal(
                 query.request_id,
                 RefusalReason.NO_SNAPSHOT,
                 RETRY_AFTER_MS,
             )
-        policy = self._policies.of(document)
-        content = Content(
-            query.service,
-            fingerprint(query.service, KIND, query.body),
-        )
-        tried = self._try_alone(query, content, snapshot, policy)
+        mark = fingerprint(query.service, KIND, query.body)
+        content = Content(query.service, mark)
+        asked = _Asked(query, content, self._policies.of(document))
+        snapshot = pin.snapshot
+        gathered = self._ask(asked, snapshot, lambda: self._better(asked, pin))
+        if gathered.stopped_for is not None:
+            snapshot = gathered.stopped_for
+            again = self._ask(asked, snapshot, _no_better)
+            gathered = _added(gathered, again)
+        if gathered.is_quarantined:
+            return Refusal(
+                query.request_id,
+                RefusalReason.QUARANTINED,
+                self._suspects.retry_after_ms(content),
+                gathered.may_have_run,
+            )
+        return _judge(query, snapshot, document, gathered)
+
+    def _ask(
+        self,
+        asked: _Asked,
+        snapshot: Snapshot,
+        better_snapshot: Better,
+    ) -> Gathered:
+        tried = self._try_alone(asked, snapshot, better_snapshot)
         if not tried.passed:
-            return self._give_up(query, content, snapshot, document, tried)
-        scatter = Scatter(
-            query,
+            return self._not_passed(asked, snapshot, tried)
+        return Scatter(
+            asked.query,
             snapshot,
-            policy,
-            self._pools,
-            self._clock,
-            ContentWatch(self._suspects, content, tried),
-        )
-        return _judge(query, snapshot, document, scatter.run())
+            asked.policy,
+            self._backends,
+            better_snapshot,
+            ContentWatch(self._suspects, asked.content, tried),
+        ).run()
 
     def _try_alone(
         self,
-        query: Query,
-        content: Content,
+        asked: _Asked,
         snapshot: Snapshot,
-        policy: ServicePolicy,
+        better_snapshot: Better,
     ) -> Tried:
-        if self._suspects.is_known_good(content, snapshot.snapshot_id):
+        if self._suspects.is_known_good(asked.content, snapshot.snapshot_id):
             return Tried(passed=True)
         canary = Canary(
-            query,
+            asked.query,
             snapshot,
-            policy,
-            self._pools,
+            asked.policy,
+            self._backends,
             self._suspects,
-            self._clock,
+            better_snapshot,
         )
-        return canary.run(content)
+        with self._backends.pools.holding(snapshot):
+            return canary.run(asked.content)
 
-    def _give_up(
+    def _not_passed(
         self,
-        query: Query,
-        content: Content,
+        asked: _Asked,
         snapshot: Snapshot,
-        document: Document,
         tried: Tried,
-    ) -> QueryAnswer | Refusal:
-        if self._suspects.judge(content) in REFUSED:
-            return Refusal(
-                query.request_id,
-                RefusalReason.QUARANTINED,
-                self._suspects.retry_after_ms(content),
-                tried.may_have_run,
-            )
+    ) -> Gathered:
         missing = [
-            PartProgress(part, query.deadline, reason=tried.reason)
+            PartProgress(part, asked.query.deadline, reason=tried.reason)
             for part in snapshot.parts
         ]
-        gathered = gather(
-            snapshot,
-            missing,
+        answers, coverage = gather(snapshot, missing)
+        return Gathered(
+            answers,
+            coverage,
             tried.attempts,
             tried.may_have_run,
+            tried.stopped_for,
+            self._suspects.judge(asked.content) in REFUSED,
         )
-        return _judge(query, snapshot, document, gathered)
 
-    def _pin(self, query: Query) -> Snapshot | None:
-        catalogue = self._state.catalogue_by_service.get(query.service)
-        if catalogue is None or not catalogue.snapshots:
+    def _better(self, asked: _Asked, former: Pin) -> Snapshot | None:
+        """Return the snapshot to start again on, if the time allows."""
+        left = asked.query.deadline - self._backends.clock.monotonic()
+        if left < asked.policy.hedge.delay:
+            return None
+        pin = self._pinning.pin(asked.query.service)
+        if pin is None or not pin.whole or pin.snapshot is former.snapshot:
             return None
-        return catalogue.snapshots[0]
+        return pin.snapshot
+
+
+def _no_better() -> None:
+    """Keep to the snapshot: a query starts again once at most."""
+
+
+def _added(first: Gathered, again: Gathered) -> Gathered:
+    return replace(
+        again,
+        attempts=first.attempts + again.attempts,
+        may_have_run=first.may_have_run or again.may_have_run,
+    )
 
 
 def _judge(
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -6,18 +6,17 @@
 """
 
 from basilwall.backend.pool import AttemptJob
-from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
-from basilwall.parts.clock import Clock
-from basilwall.query.inbox import Event, Inbox
+from basilwall.query.inbox import Event
 from basilwall.query.policy import ServicePolicy
 from basilwall.query.progress import (
     Gathered,
     PartProgress,
     Query,
-    attempt_at,
     gather,
+    highest_fraction,
 )
+from basilwall.query.sending import Backends, Better, Sender
 from basilwall.query.watch import ContentWatch
 from basilwall.records.answer import MissingReason
 from basilwall.records.attempt import (
@@ -29,25 +28,36 @@
 )
 from basilwall.records.catalogue import Snapshot
 
+#: Reasons that another snapshot may not share.
+SNAPSHOT_REASONS = frozenset(
+    (MissingReason.WRONG_SNAPSHOT, MissingReason.NO_SEARCHER),
+)
+
 
 class Scatter:
-    """One query over the parts of one snapshot."""
+    """One query over the parts of one snapshot.
+
+    `better_snapshot` is asked when a part can't be had from this snapshot; if
+    it names another one, the scatter ends at once.
+    """
 
     def __init__(
         self,
         query: Query,
         snapshot: Snapshot,
         policy: ServicePolicy,
-        pools: SearcherPools,
-        clock: Clock,
+        backends: Backends,
+        better_snapshot: Better,
         watch: ContentWatch,
     ) -> None:
         self._query = query
         self._snapshot = snapshot
         self._policy = policy
-        self._pools = pools
-        self._clock = clock
-        self._inbox = Inbox()
+        self._backends = backends
+        self._better_snapshot = better_snapshot
+        self._clock = backends.clock
+        self._inbox = backends.make_inbox()
+        self._sender = Sender(query, snapshot, backends, self._inbox)
         self._progress_by_job: dict[AttemptJob, PartProgress] = {}
         self._open: list[PartProgress] = []
         self._ended: list[PartProgress] = []
@@ -55,55 +65,61 @@
         self._watch = watch
         self._may_have_run = watch.tried.may_have_run
         self._attempts = watch.tried.attempts
+        self._is_hopeless = False
+        self._stopped_for: Snapshot | None = None
 
     def run(self) -> Gathered:
         """Send to every part and gather until nothing more can come.
 
         Returns:
-            All that was gathered, at the deadline at the latest.
+            All that was gathered: once every part has ended, once the
+            tolerated coverage is out of reach, or at the deadline.
         """
-        self._send_first()
-        while self._open or self._resume():
-            now = self._clock.monotonic()
-            event = self._next_event(now)
-            if event is None and now >= self._query.deadline:
-                break
-            if event is None:
-                self._hedge(self._clock.monotonic())
-            else:
-                self._take(*event)
-        self._give_up_open()
+        with self._backends.pools.holding(self._snapshot):
+            self._send_first()
+            while not self._has_stopped and (self._open or self._resume()):
+                now = self._clock.monotonic()
+                event = self._next_event(now)
+                if event is None and now >= self._query.deadline:
+                    break
+                if event is None:
+                    self._hedge(self._clock.monotonic())
+                else:
+                    self._take(*event)
+            self._give_up_open()
         self._ended.extend(self._deferred)
-        return gather(
-            self._snapshot,
-            self._ended,
+        answers, coverage = gather(self._snapshot, self._ended)
+        return Gathered(
+            answers,
+            coverage,
             self._attempts,
             self._may_have_run,
+            self._stopped_for,
         )
 
+    @property
+    def _has_stopped(self) -> bool:
+        return self._is_hopeless or self._stopped_for is not None
+
     def _send_first(self) -> None:
         hedge_at = self._clock.monotonic() + self._policy.hedge.delay
         self._policy.budget.earn(len(self._snapshot.parts))
-        for part in self._snapshot.parts:
-            progress = PartProgress(part, hedge_at)
-            progress.answer = self._watch.answer_of(part)
-            if progress.answer is None and self._send(progress):
-                self._open.append(progress)
-            else:
-                self._ended.append(progress)
+        self._open = [
+            PartProgress(part, hedge_at) for part in self._snapshot.parts
+        ]
+        for progress in tuple(self._open):
+            progress.answer = self._watch.answer_of(progress.part)
+            if progress.answer is not None or not self._send(progress):
+                self._end(progress)
+            if self._has_stopped:
+                break
 
     def _send(self, progress: PartProgress) -> bool:
-        pool = self._pools.pick(progress.part, progress.tried)
+        pool = self._sender.pick(progress)
         if pool is None:
             return False
         self._attempts += 1
-        request = attempt_at(
-            self._query,
-            self._snapshot,
-            progress.part,
-            self._attempts,
-        )
-        job = AttemptJob(request, self._inbox.put)
+        job = self._sender.make_job(progress.part)
         progress.tried.add(pool.address)
         progress.jobs.append(job)
         self._progress_by_job[job] = progress
@@ -127,11 +143,14 @@
                 self._send(progress)
 
     def _take(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        progress = self._progress_by_job.pop(job)
+        progress = self._progress_by_job.pop(job, None)
+        if progress is None:
+            return
         progress.jobs.remove(job)
         self._may_have_run |= isinstance(outcome, Answered | MayHaveRun)
+        self._sender.note(outcome)
         self._watch.saw(progress.part, job, outcome)
-        if progress.answer is not None:
+        if progress.has_ended:
             return
         if isinstance(outcome, Answered):
             self._take_answer(progress, job, outcome)
@@ -184,23 +203,37 @@
 
     def _resume(self) -> bool:
         """Send one deferred part, alone; False if there is none to send."""
-        while self._deferred:
+        while self._deferred and not self._has_stopped:
             progress = self._deferred.pop()
             progress.hedge_at = self._query.deadline
+            self._open.append(progress)
             if self._watch.may_run and self._send(progress):
-                self._open.append(progress)
                 return True
-            self._ended.append(progress)
+            self._end(progress)
         return False
 
     def _end(self, progress: PartProgress) -> None:
+        progress.end()
         self._open.remove(progress)
         self._ended.append(progress)
-        for job in progress.jobs:
-            job.cancel()
+        if progress.answer is None and progress.reason in SNAPSHOT_REASONS:
+            self._stopped_for = self._better_snapshot()
+        if not progress.is_whole:
+            highest = highest_fraction(
+                self._snapshot,
+                self._ended,
+                [*self._open, *self._deferred],
+            )
+            tolerated = self._policy.document.tolerated_coverage
+            self._is_hopeless = highest < tolerated
 
     def _give_up_open(self) -> None:
-        for progress in tuple(self._open):
-            self._may_have_run = True
-            progress.reason = MissingReason.DEADLINE
-            self._end(progress)
+        reason = MissingReason.DEADLINE
+        if self._has_stopped:
+            reason = MissingReason.GIVEN_UP
+        for progress in self._open:
+            self._may_have_run |= bool(progress.jobs)
+            progress.reason = reason
+            progress.end()
+        self._ended += self._open
+        self._open = []
