--- a/basilwall/peer/client_test.py
+++ b/basilwall/peer/client_test.py
@@ -10,11 +10,17 @@
 from basilwall.peer.client import GrpcForwarder, PeerClients
 from basilwall.peer.server import PeerService, peer_server
 from basilwall.records.order import OrderOutcome, OrderReason, OrderState
-from basilwall.standin.demo import HOST, free_ports
+from basilwall.standin.ports import HOST, reserved_ports
 
 RAN = OrderOutcome(OrderState.RAN, OrderReason.ANSWERED, b'[1]')
 
 
+@pytest.fixture
+def owner():
+    with reserved_ports(1) as port:
+        yield f'{HOST}:{port}'
+
+
 @pytest.fixture
 def clients():
     made = PeerClients()
@@ -22,9 +28,8 @@
     made.close()
 
 
-def test_a_peer_that_came_back_is_asked_at_once(clients):
+def test_a_peer_that_came_back_is_asked_at_once(clients, owner):
     clock = SystemClock()
-    owner = f'{HOST}:{free_ports(1)}'
     membership = Membership(Member('other'), clock)
     forwarder = GrpcForwarder(clients, membership, clock)
     ticket = SimpleNamespace(owner=owner)
--- a/basilwall/standin/demo.py
+++ b/basilwall/standin/demo.py
@@ -1,8 +1,6 @@
 """The demo: one VM and its stand-ins in one process, with real requests."""
 
 import http.client
-import random
-import socket
 import tempfile
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
@@ -21,6 +19,7 @@
     published_values,
 )
 from basilwall.standin.platform import PlatformStandIn
+from basilwall.standin.ports import reserved_ports
 from basilwall.wiring import Vm, running_vm
 
 SERVICE_MS = 5
@@ -29,48 +28,22 @@
 ORDER = b'{"place": "coconut briquettes", "kilos": 40}'
 SERVICE = 'depot-desk'
 MILLISECONDS = 1000
-FIRST_PORT = 20_000
-LAST_PORT = 32_000
 READY_TRIES = 500
 DEMO_FLEET = 9
 
 Say = Callable[[str], None]
 
 
-def free_ports(count: int) -> int:
-    """Return the first of `count` neighbouring ports that are free now.
-
-    Each process looks through them in an order of its own, since a port that
-    another one has just chosen is still free until it listens there.
-    """
-    firsts = list(range(FIRST_PORT, LAST_PORT, count))
-    random.Random().shuffle(firsts)
-    for first in firsts:
-        if all(_is_free(first + offset) for offset in range(count)):
-            return first
-    raise OSError('no free ports')
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 @contextmanager
 def demo_vm(caller_port: int | None = None) -> Iterator[Vm]:
     """Run one VM over stand-ins for the length of a block."""
     shape = QASR_AL_JAMR[0]
     searchers = shape.instances * shape.searchers
-    base = free_ports(searchers + 3)
-    port = base + searchers
-    platform_address = f'{HOST}:{port}'
-    vm_address = f'{HOST}:{port + 1}'
     with ExitStack() as stack:
+        base = stack.enter_context(reserved_ports(searchers + 3))
+        port = base + searchers
+        platform_address = f'{HOST}:{port}'
+        vm_address = f'{HOST}:{port + 1}'
         key_file = stack.enter_context(_key_file())
         _start_stand_ins(stack, base, platform_address, vm_address)
         settings = Settings(
--- a/tests/binary_test.py
+++ b/tests/binary_test.py
@@ -7,7 +7,9 @@
 import sys
 from pathlib import Path
 
-from basilwall.standin.demo import free_ports
+import pytest
+
+from basilwall.standin.ports import reserved_ports
 from tests.processes import HOST, KEY, http_call, wait_until
 
 ROOT = Path(__file__).parents[1]
@@ -23,13 +25,18 @@
     ]
 
 
-def test_the_binary_serves_as_one_process(tmp_path):
+@pytest.fixture
+def port():
+    with reserved_ports(2) as first:
+        yield first
+
+
+def test_the_binary_serves_as_one_process(tmp_path, port):
     binary = tmp_path / 'basilwall'
     build = [sys.executable, '-m', 'pex', str(ROOT), '-c', 'basilwall']
     subprocess.run([*build, '-o', str(binary)], check=True)
     key_file = tmp_path / 'ticket.key'
     key_file.write_bytes(KEY)
-    port = free_ports(2)
     caller = f'{HOST}:{port}'
     settings = tmp_path / 'vm.json'
     settings.write_text(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from basilwall.standin.demo import free_ports
 from basilwall.standin.deployment import SHAPES_BY_DEPLOYMENT
+from basilwall.standin.ports import reserved_ports
 
 HOST = '127.0.0.1'
 PATIENCE = 60.0
@@ -156,34 +156,35 @@
     """Run a deployment for the length of a block."""
     shapes = SHAPES_BY_DEPLOYMENT[name]
     count = sum(shape.instances * shape.searchers for shape in shapes)
-    base = free_ports(count + 1 + 2 * vms)
-    platform = f'{HOST}:{base + count}'
+    with reserved_ports(count + 1 + 2 * vms) as base:
+        made = Deployment(name, base, f'{HOST}:{base + count}', [])
+        for number in range(vms):
+            port = base + count + 1 + 2 * number
+            made.vms.append(_make_vm(made, folder, number, port, settings))
+        try:
+            _start(made, service_ms, processes)
+            yield made
+        finally:
+            for process in [vm.process for vm in made.vms] + made.processes:
+                _end(process)
+
+
+def _make_vm(made, folder, number, port, settings):
     key_file = folder / 'ticket.key'
     key_file.write_bytes(KEY)
-    made = Deployment(name, base, platform, [])
-    for number in range(vms):
-        port = base + count + 1 + 2 * number
-        path = folder / f'vm-{number}.json'
-        content = {
-            'caller_address': f'{HOST}:{port}',
-            'peer_address': f'{HOST}:{port + 1}',
-            'platform_addresses': [platform],
-            'zone': f'zone-{number}',
-            'region': 'region-0',
-            'ticket_key_file': str(key_file),
-            'stop': {'balancer_lag_s': 0.5},
-            **settings,
-        }
-        path.write_text(json.dumps(content))
-        made.vms.append(
-            Vm(path, content['caller_address'], content['peer_address']),
-        )
-    try:
-        _start(made, service_ms, processes)
-        yield made
-    finally:
-        for process in [vm.process for vm in made.vms] + made.processes:
-            _end(process)
+    content = {
+        'caller_address': f'{HOST}:{port}',
+        'peer_address': f'{HOST}:{port + 1}',
+        'platform_addresses': [made.platform],
+        'zone': f'zone-{number}',
+        'region': 'region-0',
+        'ticket_key_file': str(key_file),
+        'stop': {'balancer_lag_s': 0.5},
+        **settings,
+    }
+    path = folder / f'vm-{number}.json'
+    path.write_text(json.dumps(content))
+    return Vm(path, content['caller_address'], content['peer_address'])
 
 
 def _start(made, service_ms, processes):
