Send no order after a pause before lists were read again

Cause: an order that arrives right after a pause was dispatched on what the VM knew before it. Ruled out: to hold the order until a read has ended; a request gets its final answer at once, and the refusal says when to come back.

After: the dispatch asks PauseWatch right before the first byte. With the platform down, one VM and a pause of 2 s the order is refused 'paused' and the searchers' records show nothing; once the platform is back it runs. The test failed before: the order ran.

--- a/basilwall/order/dispatch.py
+++ b/basilwall/order/dispatch.py
@@ -5,6 +5,7 @@
 does not send: what it knew before is old.
 """
 
+from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass, field
@@ -78,18 +79,27 @@
     wall: float
 
 
+def _always() -> bool:
+    return True
+
+
 class OrderDispatcher:
-    """Sends orders on behalf of the tickets of this incarnation."""
+    """Sends orders on behalf of the tickets of this incarnation.
+
+    `is_fresh` says whether lists and revisions were read since the last pause.
+    """
 
     def __init__(
         self,
         state: PlatformState,
         pools: SearcherPools,
         clock: Clock,
+        is_fresh: Callable[[], bool] = _always,
     ) -> None:
         self._state = state
         self._pools = pools
         self._clock = clock
+        self._is_fresh = is_fresh
 
     def dispatch(self, order: Order) -> OrderOutcome:
         """Send an order until it ran, may have run, or nobody takes it.
@@ -157,6 +167,8 @@
     ) -> bool:
         now = _Moment(self._clock.monotonic(), self._clock.wall())
         sends.held_back = _held_back(order, decided, now)
+        if not self._is_fresh():
+            sends.held_back = OrderReason.PAUSED
         return sends.held_back is None
 
     def _wait(
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -249,7 +249,12 @@
     return OrderDesk(
         mint,
         TicketTable(mint, core.clock, settings.limits.tickets),
-        OrderDispatcher(core.state, pools, core.clock),
+        OrderDispatcher(
+            core.state,
+            pools,
+            core.clock,
+            core.pauses.is_fresh,
+        ),
         GrpcForwarder(clients, core.membership, core.clock),
         core.handovers,
         core.clock,
