--- /dev/null
+++ b/basilwall/backend/returning.py
@@ -0,0 +1,60 @@
+"""Finds out that a new process serves at the address of a searcher that left.
+
+A sign of leaving is believed for half a minute, but a searcher that restarts
+is back sooner, and if all of a part restart one after the other the part would
+be missing for that long. Health endpoints mislead, so the sign that counts is
+that the port was closed and then accepts again: the old process is gone. No
+request is sent for it, and what the fleet list says stays untouched.
+"""
+
+import socket
+import threading
+
+from basilwall.parts.departures import Departures
+from basilwall.records.ids import SearcherAddress
+
+#: Time between two looks at all searchers that are leaving, in seconds.
+LOOK_EVERY = 1.0
+CONNECT_TIMEOUT = 0.2
+#: Searchers looked at in one go, those with the latest signs first.
+MAX_LOOKS = 64
+
+
+class ReturnWatch:
+    """Looks at the ports of leaving searchers until they are served anew."""
+
+    def __init__(self, departures: Departures) -> None:
+        self._departures = departures
+        self._closed: set[SearcherAddress] = set()
+
+    def run(self, stopping: threading.Event) -> None:
+        """Look until `stopping` is set."""
+        while not stopping.wait(LOOK_EVERY):
+            self.look()
+
+    def look(self) -> None:
+        """Look at each leaving searcher once."""
+        leaving = self._departures.ages()
+        self._closed &= leaving.keys()
+        latest = sorted(leaving, key=lambda address: leaving[address])
+        for address in latest[:MAX_LOOKS]:
+            self._look_at(address)
+
+    def _look_at(self, address: SearcherAddress) -> None:
+        host, _, port = address.rpartition(':')
+        try:
+            socket.create_connection(
+                (host, int(port)),
+                CONNECT_TIMEOUT,
+            ).close()
+        except ConnectionRefusedError:
+            self._closed.add(address)
+        except (OSError, ValueError):
+            return
+        else:
+            self._note_open(address)
+
+    def _note_open(self, address: SearcherAddress) -> None:
+        if address in self._closed:
+            self._closed.discard(address)
+            self._departures.returned(address)
--- /dev/null
+++ b/basilwall/backend/returning_test.py
@@ -0,0 +1,47 @@
+"""A port that closes and opens again ends the signs of its searcher."""
+
+import socket
+
+from basilwall.backend.returning import ReturnWatch
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.departures import Departures
+
+
+def listen(port=0):
+    server = socket.socket()
+    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    server.bind(('127.0.0.1', port))
+    server.listen()
+    return server
+
+
+def test_only_a_port_that_was_closed_ends_a_sign():
+    departures = Departures(ManualClock())
+    watch = ReturnWatch(departures)
+    server = listen()
+    port = server.getsockname()[1]
+    address = f'127.0.0.1:{port}'
+    departures.mark(address)
+    departures.mark('no address at all')
+    watch.look()
+    assert departures.is_leaving(address)
+    server.close()
+    watch.look()
+    assert departures.is_leaving(address)
+    with listen(port):
+        watch.look()
+    assert not departures.is_leaving(address)
+
+
+def test_what_the_fleet_list_says_stays():
+    departures = Departures(ManualClock())
+    watch = ReturnWatch(departures)
+    server = listen()
+    port = server.getsockname()[1]
+    address = f'127.0.0.1:{port}'
+    departures.listed({address})
+    server.close()
+    watch.look()
+    with listen(port):
+        watch.look()
+    assert departures.is_leaving(address)
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -15,6 +15,7 @@
 from statsd import StatsClient
 
 from basilwall.backend.pools import SearcherPools
+from basilwall.backend.returning import ReturnWatch
 from basilwall.caller.admission import Admission
 from basilwall.caller.app import CallerApp
 from basilwall.caller.server import CallerServer, Listening, caller_server
@@ -327,6 +328,8 @@
         tasks.start(partial(watch.run, tasks.stopping))
     firsts = [one.health.first_read for one in core.watches]
     tasks.start(lambda: core.pauses.run(tasks.stopping))
+    returns = ReturnWatch(core.departures)
+    tasks.start(lambda: returns.run(tasks.stopping))
     tasks.start(
         lambda: settle(core.state, links.is_settled, firsts, tasks.stopping),
     )
--- a/tests/leaving_test.py
+++ b/tests/leaving_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from basilwall.document.keys import FLEET
+from basilwall.parts.departures import BELIEF
 from tests.processes import deployment, http_call, wait_until
 
 #: From the first sign at any VM to no new work from all, in seconds.
@@ -15,6 +16,7 @@
 NO_WORK_AFTER = 3.0
 WATCHED = 2.0
 SERVICE = 'depot-desk'
+SNAPSHOT = {'Snapshot': 's1', 'Timeout-Ms': '1000'}
 QUERY = f'/v1/services/{SERVICE}/query'
 ORDERS = f'/v1/services/{SERVICE}/orders'
 
@@ -139,3 +141,22 @@
     for _ in range(10):
         sleeper.call(QUERY)
     assert arrived(searcher) == before
+
+
+def test_a_searcher_that_restarts_works_again_at_once(made):
+    searcher = made.searchers()[0]
+    made.switch(searcher, leaving=True, restart_ms=3000, crash_on='"end"')
+
+    def saw_sign():
+        return made.vms[0].call(QUERY) and searcher in leaving_at(made.vms[0])
+
+    wait_until(saw_sign)
+    wait_until(lambda: all(searcher in leaving_at(vm) for vm in made.vms))
+    made.switch(searcher, leaving=False)
+    with pytest.raises(ConnectionError):
+        http_call(
+            searcher, 'POST', f'/v1/{SERVICE}/x/query', b'"end"', SNAPSHOT
+        )
+    began = time.monotonic()
+    wait_until(lambda: not any(leaving_at(vm) for vm in made.vms))
+    assert time.monotonic() - began < BELIEF / 2
