--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -15,6 +15,7 @@
 from statsd import StatsClient
 
 from basilwall.backend.pools import SearcherPools
+from basilwall.backend.returning import ReturnWatch
 from basilwall.backend.suspects import Suspects
 from basilwall.caller.admission import Admission
 from basilwall.caller.app import CallerApp
@@ -264,7 +265,13 @@
     return OrderDesk(
         mint,
         TicketTable(mint, core.clock, settings.limits.tickets),
-        OrderDispatcher(core.state, pools, suspects, core.clock),
+        OrderDispatcher(
+            core.state,
+            pools,
+            suspects,
+            core.clock,
+            core.pauses.is_fresh,
+        ),
         GrpcForwarder(clients, core.membership, core.clock),
         core.handovers,
         core.clock,
@@ -352,6 +359,8 @@
         tasks.start(partial(watch.run, tasks.stopping))
     firsts = [one.health.first_read for one in core.watches]
     tasks.start(lambda: core.pauses.run(tasks.stopping))
+    returns = ReturnWatch(core.departures)
+    tasks.start(lambda: returns.run(tasks.stopping))
     tasks.start(
         lambda: settle(core.state, links.is_settled, firsts, tasks.stopping),
     )
