--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,12 @@
 test: $(VENV)/installed
 	$(RUN)/pytest -n 4 --dist loadfile
 
+# SEED=... draws the examples of an earlier run again.
+SEED ?= $(shell date +%s)
+fuzz: $(VENV)/installed
+	@echo "seed: $(SEED)"
+	$(RUN)/pytest -k Fleet --hypothesis-profile=fuzz --hypothesis-seed=$(SEED)
+
 check: $(VENV)/installed
 	$(RUN)/ruff format --check .
 	$(RUN)/ruff check .
