--- a/basilwall/peer/client.py
+++ b/basilwall/peer/client.py
@@ -142,7 +142,11 @@
         stub = self._clients.stub(address)
         try:
             reply: _Reply = call(
-                lambda: stub.Forward.future(message, timeout=timeout),
+                lambda: stub.Forward.future(
+                    message,
+                    timeout=timeout,
+                    wait_for_ready=True,
+                ),
             )
         except PeerError:
             return None
--- a/basilwall/peer/handing_over.py
+++ b/basilwall/peer/handing_over.py
@@ -35,7 +35,7 @@
 MAX_KEEPERS = 17
 #: One call, in seconds, and how often it is tried.
 CALL_TIMEOUT = 2.0
-MAX_TRIES = 3
+MAX_TRIES = 2
 RETRY_PAUSE = 0.2
 _UNKNOWN = OrderOutcome(OrderState.UNKNOWN, OrderReason.REPLY_LOST)
 
@@ -139,9 +139,15 @@
         keeper: VmAddress,
     ) -> bool:
         for _ in range(MAX_TRIES):
-            stub = self._clients.stub(keeper)
+            # The channel to a VM that has just restarted may be in backoff.
+            hand = partial(
+                self._clients.stub(keeper).HandOver,
+                message,
+                timeout=CALL_TIMEOUT,
+                wait_for_ready=True,
+            )
             try:
-                call(partial(stub.HandOver, message, timeout=CALL_TIMEOUT))
+                call(hand)
             except PeerError:
                 time.sleep(RETRY_PAUSE)
             else:
