Learn from attempts that were given up

A searcher that is frozen was cancelled when its hedge answered, and a cancelled attempt was no sample: it kept the 5 ms that a new searcher is assumed to take, so the choice went on sending to it. Now the time until the cancellation counts as the least that it takes. So that it is tried again, a bad latency is half forgotten every 3 s. A searcher that could not be reached counts as up to five times slower for its first 10 s: a cold start gets little. Ruled out: its health and load endpoints, which lag or mislead. basilwall/parts/choice_test.py tests all three.

--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from basilwall.backend.connection import ConnectError, SearcherConnection
+from basilwall.parts.choice import LatencyEstimate
 from basilwall.parts.clock import Clock
 from basilwall.parts.departures import Departures
 from basilwall.parts.tasks import TaskGroup
@@ -27,10 +28,6 @@
 #: After a failed connect the searcher is passed over this long, in seconds.
 FIRST_BACKOFF = 0.1
 HIGHEST_BACKOFF = 3.0
-#: Weight of the newest latency in the smoothed one.
-SMOOTHING = 0.2
-#: Assumed latency of a searcher that has not answered yet, in seconds.
-INITIAL_LATENCY = 0.005
 
 
 def _always() -> bool:
@@ -50,6 +47,7 @@
     searcher: SearcherAddress | None = None
     may_send: Callable[[], bool] = _always
     cancelled: bool = False
+    queued_at: float = 0
     sent_at: float = 0
     ended_at: float = 0
     connection: SearcherConnection | None = field(default=None, repr=False)
@@ -77,7 +75,7 @@
         self.in_flight = 0
         self._clock = clock
         self._departures = departures
-        self._latency = INITIAL_LATENCY
+        self._estimate = LatencyEstimate(clock)
         self._backoff = FIRST_BACKOFF
         self._passed_over_until = clock.monotonic()
         self._jobs: queue.SimpleQueue[AttemptJob | None] = queue.SimpleQueue()
@@ -87,7 +85,7 @@
     @property
     def cost(self) -> float:
         """The expected wait for one more attempt, in seconds."""
-        return (self.in_flight + 1) * self._latency
+        return (self.in_flight + 1) * self._estimate.seconds
 
     @property
     def is_reachable(self) -> bool:
@@ -102,6 +100,7 @@
     def submit(self, job: AttemptJob) -> None:
         """Queue an attempt for the next free connection."""
         job.searcher = self.address
+        job.queued_at = self._clock.monotonic()
         with self._lock:
             self.in_flight += 1
             closed = self._closed
@@ -180,19 +179,18 @@
             self._departures.mark(self.address)
 
     def _note_latency(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
-        if job.cancelled:
-            return
         latency = self._clock.monotonic() - job.sent_at
-        if isinstance(outcome, Answered):
+        if isinstance(outcome, Answered) and not job.cancelled:
             self._backoff = FIRST_BACKOFF
-        elif latency < self._latency:
-            return
-        self._latency += SMOOTHING * (latency - self._latency)
+            self._estimate.answered(latency)
+        else:
+            self._estimate.unanswered(latency)
 
     def _note_unreachable(self) -> None:
         now = self._clock.monotonic()
         if now < self._passed_over_until:
             return
+        self._estimate.start_cold()
         self._passed_over_until = now + self._backoff
         self._backoff = min(self._backoff * 2, HIGHEST_BACKOFF)
 
--- a/basilwall/parts/choice.py
+++ b/basilwall/parts/choice.py
@@ -5,10 +5,60 @@
 since they lag or mislead.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from typing import Protocol, TypeVar
 
+from basilwall.parts.clock import Clock
+
+#: Weight of the newest latency in the smoothed one.
+SMOOTHING = 0.2
+#: Assumed latency of a replica that has not answered yet, in seconds.
+INITIAL_LATENCY = 0.005
+#: A bad latency is half forgotten after this time without a sample, so that
+#: a replica which has recovered is tried again, in seconds.
+HALF_LIFE = 3.0
+#: A replica that starts cold counts as this much slower at first.
+COLD_FACTOR = 4.0
+WARM_UP_SECONDS = 10.0
+
+
+class LatencyEstimate:
+    """The latency to expect of one replica, by what was seen of it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._smoothed = INITIAL_LATENCY
+        self._sampled_at = clock.monotonic()
+        self._cold_since = -math.inf
+
+    @property
+    def seconds(self) -> float:
+        """The expected latency, in seconds."""
+        now = self._clock.monotonic()
+        faded = 2 ** ((self._sampled_at - now) / HALF_LIFE)
+        warmth = min((now - self._cold_since) / WARM_UP_SECONDS, 1)
+        return self._smoothed * faded * (1 + COLD_FACTOR * (1 - warmth))
+
+    def answered(self, latency: float) -> None:
+        """Count an attempt that answered after `latency` seconds."""
+        self._sampled_at = self._clock.monotonic()
+        self._smoothed += SMOOTHING * (latency - self._smoothed)
+
+    def unanswered(self, elapsed: float) -> None:
+        """Count an attempt that was given up after `elapsed` seconds.
+
+        Its latency is at least that, which says nothing about a replica that
+        is known to be slower.
+        """
+        if elapsed > self._smoothed:
+            self.answered(elapsed)
+
+    def start_cold(self) -> None:
+        """Count the replica as one that starts anew."""
+        self._cold_since = self._clock.monotonic()
+
 
 class Candidate(Protocol):
     """What a replica must show to be compared."""
--- /dev/null
+++ b/basilwall/parts/choice_test.py
@@ -0,0 +1,83 @@
+"""Choice of a replica: the worst is passed over, and tried again later."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from basilwall.parts.choice import LatencyEstimate, choose
+from basilwall.parts.clock import ManualClock
+
+SETTINGS = settings(derandomize=True, max_examples=80, deadline=None)
+
+
+class Replica:
+    """A replica with a cost, or with an estimate."""
+
+    def __init__(self, cost=0, estimate=None):
+        self.estimate = estimate
+        self.given = cost
+
+    @property
+    def cost(self):
+        return self.estimate.seconds if self.estimate else self.given
+
+
+@SETTINGS
+@given(st.lists(st.floats(0.001, 9), max_size=8), st.integers(0, 99))
+def test_the_worst_is_never_chosen_from_several(costs, seed):
+    replicas = [Replica(cost) for cost in costs]
+    chosen = choose(replicas, random.Random(seed))
+    if not replicas:
+        assert chosen is None
+        return
+    assert chosen in replicas
+    if len(costs) > 1 and len(set(costs)) == len(costs):
+        assert chosen.cost < max(costs)
+
+
+@SETTINGS
+@given(st.lists(st.tuples(st.booleans(), st.floats(0.001, 2)), max_size=40))
+def test_an_estimate_stays_between_what_was_seen(samples):
+    estimate = LatencyEstimate(ManualClock())
+    seen = [0.005]
+    for answered, latency in samples:
+        before = estimate.seconds
+        (estimate.answered if answered else estimate.unanswered)(latency)
+        seen.append(latency)
+        assert min(seen) - 1e-9 <= estimate.seconds <= max(seen) + 1e-9
+        if not answered:
+            assert estimate.seconds >= before
+
+
+def _share_of_first(estimates, draws=400):
+    source = random.Random(5)
+    replicas = [Replica(estimate=estimate) for estimate in estimates]
+    chosen = [choose(replicas, source) for _ in range(draws)]
+    return chosen.count(replicas[0]) / draws
+
+
+def test_a_frozen_replica_is_passed_over_until_it_is_forgotten():
+    clock = ManualClock()
+    frozen, *others = (LatencyEstimate(clock) for _ in range(3))
+    frozen.unanswered(0.04)
+    tried_again_after = 0
+    for second in range(30):
+        for other in others:
+            other.answered(0.005)
+        if second == 0:
+            assert _share_of_first([frozen, *others]) == 0
+        if _share_of_first([frozen, *others]) == 0:
+            tried_again_after = second + 1
+        clock.advance(1)
+    assert 1 <= tried_again_after <= 10
+
+
+def test_a_cold_start_gets_little_until_it_is_warm():
+    clock = ManualClock()
+    estimates = [LatencyEstimate(clock) for _ in range(3)]
+    estimates[0].start_cold()
+    assert estimates[0].seconds > 4 * estimates[1].seconds
+    assert _share_of_first(estimates) == 0
+    clock.advance(11)
+    assert estimates[0].seconds == estimates[1].seconds
