Wait as long as the team's document weighs it

The word after 'weighs' did nothing. A team that weighs the tail now gets what it tolerates once a hedge has had its usual time; one that weighs coverage waits until the deadline and hedges a part more than once. The hedge delay counts from the moment an attempt is queued, as the hedge itself does, and attempts that were given up count as at least that long: else only the winners were seen and the delay sank by itself.

--- /dev/null
+++ b/basilwall/query/patience.py
@@ -0,0 +1,78 @@
+"""How long one query waits, by what its team weighs most.
+
+Both teams hedge after a quantile of the usual latency. One that weighs the
+tail takes what it tolerates as soon as a hedge has had its usual time too;
+one that weighs coverage waits until the deadline, and hedges again.
+"""
+
+import math
+
+from basilwall.document.model import Weighs
+from basilwall.query.policy import ServicePolicy
+from basilwall.records.attempt import Answered
+
+#: A hedge and its answer, each after a hedge delay.
+DELAYS_OF_A_HEDGE = 2
+
+
+class Patience:
+    """The times of one query, in monotonic seconds."""
+
+    def __init__(
+        self,
+        policy: ServicePolicy,
+        started: float,
+        deadline: float,
+        parts: int,
+    ) -> None:
+        document = policy.document
+        self._started = started
+        self._deadline = deadline
+        self._delay = policy.hedge.delay
+        self._takes_less = document.weighs is Weighs.TAIL
+        self._tolerated = math.ceil(parts * document.tolerated_coverage)
+        self._parts = parts
+        self._half = (parts + 1) // 2
+        self._whole = 0
+        self._answered_at: list[float] = []
+
+    @property
+    def first_hedge_at(self) -> float:
+        """When an attempt counts as late."""
+        return self._started + self._delay
+
+    @property
+    def ends_at(self) -> float:
+        """When the query ends with what it has by now."""
+        if not self._takes_less or self._whole < self._tolerated:
+            return self._deadline
+        settles_at = self._started + self._delay * DELAYS_OF_A_HEDGE
+        return min(settles_at, self._deadline)
+
+    @property
+    def awaited(self) -> int:
+        """How many more answers can change what the query does."""
+        if not self._takes_less:
+            return self._parts
+        return max(self._tolerated - self._whole, 1)
+
+    def next_hedge_at(self, now: float) -> float:
+        """Return when a part that was hedged may be hedged again."""
+        if self._takes_less:
+            return self._deadline
+        return now + self._delay * DELAYS_OF_A_HEDGE
+
+    def note_answer(self, ended_at: float, answer: Answered) -> None:
+        """Count the answer of a part."""
+        self._answered_at.append(ended_at)
+        self._whole += answer.covered >= answer.total
+
+    def half_wait(self, now: float) -> float:
+        """Return how long half of the parts took, in seconds.
+
+        Args:
+            now: Stands for those that have not answered.
+        """
+        ordered = sorted(self._answered_at)
+        at = ordered[self._half - 1] if len(ordered) >= self._half else now
+        return at - self._started
--- a/basilwall/query/progress.py
+++ b/basilwall/query/progress.py
@@ -38,12 +38,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Gathered:
-    """What a scatter brought together."""
+    """What a scatter brought together; `half_wait` is in seconds."""
 
     answers: tuple[Answered, ...]
     coverage: Coverage
     attempts: int
     may_have_run: bool
+    half_wait: float = 0
 
 
 def gather(
@@ -51,6 +52,7 @@
     ended: Sequence[PartProgress],
     attempts: int,
     may_have_run: bool,
+    half_wait: float = 0,
 ) -> Gathered:
     """Add up the parts of a query that has ended.
 
@@ -59,6 +61,7 @@
         ended: The progress of each of its parts.
         attempts: How many attempts were sent.
         may_have_run: Whether any of them may have run.
+        half_wait: When half of the parts had ended, in seconds.
 
     Returns:
         The answers with their coverage.
@@ -74,7 +77,7 @@
         records_total=sum(part.records for part in snapshot.parts),
         missing=tuple(_missing(ended)),
     )
-    return Gathered(answers, coverage, attempts, may_have_run)
+    return Gathered(answers, coverage, attempts, may_have_run, half_wait)
 
 
 def _missing(ended: Iterable[PartProgress]) -> Iterator[MissingPart]:
--- a/basilwall/query/runner.py
+++ b/basilwall/query/runner.py
@@ -83,6 +83,7 @@
         gathered.coverage,
         _merge(gathered),
         gathered.attempts,
+        gathered.half_wait,
     )
 
 
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -10,6 +10,7 @@
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.parts.clock import Clock
 from basilwall.query.inbox import Event, Inbox
+from basilwall.query.patience import Patience
 from basilwall.query.policy import ServicePolicy
 from basilwall.query.progress import Gathered, PartProgress, Query, gather
 from basilwall.records.answer import MissingReason
@@ -48,6 +49,12 @@
         self._ended: list[PartProgress] = []
         self._may_have_run = False
         self._attempts = 0
+        self._patience = Patience(
+            policy,
+            clock.monotonic(),
+            query.deadline,
+            len(snapshot.parts),
+        )
 
     def run(self) -> Gathered:
         """Send to every part and gather until nothing more can come.
@@ -59,7 +66,7 @@
         while self._open:
             now = self._clock.monotonic()
             event = self._next_event(now)
-            if event is None and now >= self._query.deadline:
+            if event is None and now >= self._patience.ends_at:
                 break
             if event is None:
                 self._hedge(self._clock.monotonic())
@@ -71,10 +78,11 @@
             self._ended,
             self._attempts,
             self._may_have_run,
+            self._patience.half_wait(self._clock.monotonic()),
         )
 
     def _send_first(self) -> None:
-        hedge_at = self._clock.monotonic() + self._policy.hedge.delay
+        hedge_at = self._patience.first_hedge_at
         self._policy.budget.earn(len(self._snapshot.parts))
         for part in self._snapshot.parts:
             progress = PartProgress(part, hedge_at)
@@ -110,14 +118,15 @@
 
     def _next_event(self, now: float) -> Event | None:
         due = min(progress.hedge_at for progress in self._open)
-        wait = min(due, self._query.deadline) - now
-        return self._inbox.take(len(self._open), wait)
+        wait = min(due, self._patience.ends_at) - now
+        awaited = min(len(self._open), self._patience.awaited)
+        return self._inbox.take(awaited, wait)
 
     def _hedge(self, now: float) -> None:
         for progress in self._open:
             if progress.hedge_at > now:
                 continue
-            progress.hedge_at = self._query.deadline
+            progress.hedge_at = self._patience.next_hedge_at(now)
             untried = len(progress.tried) < len(progress.part.searchers)
             if untried and self._policy.budget.spend():
                 self._send(progress)
@@ -139,12 +148,13 @@
         job: AttemptJob,
         answer: Answered,
     ) -> None:
-        self._policy.hedge.observe(job.ended_at - job.sent_at)
+        self._policy.hedge.observe(job.ended_at - job.queued_at)
         if answer.snapshot != self._snapshot.snapshot_id:
             progress.reason = MissingReason.WRONG_SNAPSHOT
             self._try_again(progress)
             return
         progress.answer = answer
+        self._patience.note_answer(job.ended_at, answer)
         self._end(progress)
 
     def _take_failure(
@@ -168,7 +178,9 @@
     def _end(self, progress: PartProgress) -> None:
         self._open.remove(progress)
         self._ended.append(progress)
+        now = self._clock.monotonic()
         for job in progress.jobs:
+            self._policy.hedge.observe(now - job.queued_at)
             job.cancel()
 
     def _give_up_open(self) -> None:
--- a/basilwall/records/answer.py
+++ b/basilwall/records/answer.py
@@ -54,13 +54,17 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryAnswer:
-    """One answer from one snapshot; `records` is a JSON array."""
+    """One answer from one snapshot; `records` is a JSON array.
+
+    `half_wait` is when half of the parts had answered, in seconds.
+    """
 
     request_id: RequestId
     snapshot: SnapshotId
     coverage: Coverage
     records: bytes
     attempts: int
+    half_wait: float = 0
 
 
 class RefusalReason(Enum):
