Admit by an adaptive limit, by weight and by the time left

Admission had one fixed cap of 64, the weights in the document did nothing, and every refusal said 100 ms. Now each service has a limit that grows by one for a round of good queries and shrinks by 15 in 100, at most every 0.1 s, when half of a query's parts took over half of the deadline or were shed: a single straggler doesn't count. Classes divide it by weight, at least one each, and borrow what others leave. What has less than half of the usual time left is refused as too late. Retry-After follows refused against admitted of the last second, drawn between half and one and a half of it. Ruled out: a queue (it delays the refusal), a fixed share of the slots (an idle VM's is lost).

--- /dev/null
+++ b/basilwall/caller/admission_test.py
@@ -0,0 +1,117 @@
+"""Admission against a plain count, and what a refused caller is told."""
+
+import random
+from contextlib import ExitStack
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from basilwall.caller.admission import Admission, NotAdmittedError
+from basilwall.document.model import ClassPolicy, Document
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.come_back import ComeBack
+from basilwall.records.answer import RefusalReason
+
+DOCUMENTS = [
+    Document(
+        service=service,
+        classes={
+            'desk': ClassPolicy(weight=5),
+            'batch': ClassPolicy(weight=1, max_in_flight=3),
+        },
+    )
+    for service in ('a', 'b')
+]
+CAP = 12
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Requests of two services come and go; some meet congestion."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.admission = Admission(CAP, self.clock, random.Random(1))
+        self.held = []
+
+    @rule(
+        document=st.sampled_from(DOCUMENTS),
+        name=st.sampled_from(['desk', 'batch']),
+    )
+    def enter(self, document, name):
+        stack = ExitStack()
+        before = self.admission.limits().get(document.service, 8)
+        of_class = self.count(document.service, name)
+        of_service = self.count(document.service)
+        try:
+            admitted = stack.enter_context(
+                self.admission.admitted(document, name, left=1),
+            )
+        except NotAdmittedError as refused:
+            assert refused.reason is RefusalReason.OVERLOADED
+            assert refused.retry_after_ms > 0
+            assert of_service >= 1
+            return
+        assert of_service + 1 <= before
+        assert of_class + 1 <= document.classes[name].max_in_flight
+        self.held.append((document.service, name, stack, admitted))
+
+    @rule(congested=st.booleans(), seconds=st.sampled_from([0, 0.05, 0.3]))
+    def leave(self, congested, seconds):
+        self.clock.advance(seconds)
+        if self.held:
+            *_, stack, admitted = self.held.pop(0)
+            admitted.congested = congested
+            stack.close()
+
+    @invariant()
+    def counts_agree(self):
+        assert self.admission.in_flight == len(self.held)
+        assert len(self.held) <= CAP
+        assert self.admission.wait_idle(0) == (not self.held)
+
+    def count(self, *key):
+        return sum(one[: len(key)] == key for one in self.held)
+
+
+AdmissionMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=60,
+    deadline=None,
+)
+TestAdmission = AdmissionMachine.TestCase
+
+
+def test_what_cannot_be_done_in_time_is_refused():
+    clock = ManualClock()
+    admission = Admission(CAP, clock)
+    for _ in range(200):
+        with admission.admitted(DOCUMENTS[0], 'desk', left=1):
+            clock.advance(0.2)
+    with (
+        pytest.raises(NotAdmittedError) as refused,
+        admission.admitted(DOCUMENTS[0], 'desk', left=0.05),
+    ):
+        raise AssertionError
+    assert refused.value.reason is RefusalReason.TOO_LATE
+    with admission.admitted(DOCUMENTS[1], 'desk', left=0.05):
+        assert admission.in_flight == 1
+
+
+@pytest.mark.parametrize('overload', [1, 3, 8])
+def test_refused_callers_are_spread_by_the_state(overload):
+    clock = ManualClock()
+    come_back = ComeBack(clock, random.Random(2))
+    waits = []
+    for _ in range(100):
+        come_back.admitted()
+        waits.extend(come_back.refused() for _ in range(overload))
+        clock.advance(0.01)
+    newest = waits[-50 * overload :]
+    middle = sum(newest) / len(newest)
+    assert middle == pytest.approx(0.1 + overload, rel=0.25)
+    assert max(newest) > 1.8 * min(newest)
+    clock.advance(5)
+    assert come_back.refused() < 2
--- a/basilwall/caller/service.py
+++ b/basilwall/caller/service.py
@@ -23,10 +23,12 @@
 from basilwall.order.desk import OrderDesk, OrderRequest
 from basilwall.parts.clock import Clock
 from basilwall.platform.state import PlatformState
+from basilwall.query.congestion import is_congested
 from basilwall.query.progress import Query
 from basilwall.query.runner import QueryRunner
 from basilwall.records.answer import QueryAnswer, Refusal, RefusalReason
-from basilwall.records.ids import ServiceName
+from basilwall.records.attempt import RequestKind
+from basilwall.records.ids import ClassName, ServiceName
 from basilwall.records.order import OrderOutcome, OrderReason
 
 MILLISECONDS = 1000
@@ -65,10 +67,13 @@
         deadline = self._deadline(request, document.deadline_ms)
         query = Query(request.request_id, service, request.body(), deadline)
         try:
-            with self._admission.admitted(document, class_name):
-                outcome = self._queries.run(query, document)
+            outcome = self._admit_and_run(query, document, class_name)
         except NotAdmittedError as error:
-            outcome = Refusal(request.request_id, error.reason, RETRY_AFTER_MS)
+            outcome = Refusal(
+                request.request_id,
+                error.reason,
+                error.retry_after_ms,
+            )
         self._metrics.observe_query(
             service,
             class_name,
@@ -139,11 +144,31 @@
             return self._desk.refuse(order, OrderReason.UNKNOWN_SERVICE)
         class_name = document.class_named(request.header('Request-Class'))
         try:
-            with self._admission.admitted(document, class_name):
+            with self._admission.admitted(
+                document,
+                class_name,
+                order.deadline - self._clock.monotonic(),
+                RequestKind.NON_IDEMPOTENT,
+            ):
                 return self._desk.take(order)
         except NotAdmittedError:
             return self._desk.refuse(order, OrderReason.OVERLOADED)
 
+    def _admit_and_run(
+        self,
+        query: Query,
+        document: Document,
+        class_name: ClassName,
+    ) -> QueryAnswer | Refusal:
+        with self._admission.admitted(
+            document,
+            class_name,
+            query.deadline - self._clock.monotonic(),
+        ) as admitted:
+            outcome = self._queries.run(query, document)
+            admitted.congested = is_congested(outcome, document)
+        return outcome
+
     def _order_deadline(
         self,
         request: CallerRequest,
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -215,7 +215,7 @@
         membership=membership,
         handovers=Handovers(clock),
         metrics=Metrics(_statsd(settings)),
-        admission=Admission(settings.limits.requests_in_flight),
+        admission=Admission(settings.limits.requests_in_flight, clock),
         pauses=pauses,
         watches=[
             PlatformWatch(
