--- a/basilwall/order/fleet_fakes_test.py
+++ b/basilwall/order/fleet_fakes_test.py
@@ -11,6 +11,7 @@
 
 import grpc
 
+from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.order.desk import OrderDesk, OrderForwarder
 from basilwall.order.dispatch import OrderDispatcher
 from basilwall.parts.clock import Clock
@@ -228,7 +229,7 @@
         self.desk = OrderDesk(
             self.mint,
             self.table,
-            OrderDispatcher(_STATE, self, self.clock),
+            OrderDispatcher(_STATE, self, NoSuspects(), self.clock),
             Forwarder(self, network),
             self.handovers,
             self.clock,
--- a/basilwall/query/fakes_test.py
+++ b/basilwall/query/fakes_test.py
@@ -7,12 +7,12 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
+from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.replies import RawReply, ReplyError, read_reply
 from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.departures import Departures
-from basilwall.parts.quarantine import Suspicion
 from basilwall.parts.sightings import Sightings
 from basilwall.platform.state import PlatformState
 from basilwall.query.inbox import Inbox
@@ -103,19 +103,6 @@
         return self._arrived.popleft() if self._arrived else None
 
 
-class NoSuspects:
-    """Knows every content as good."""
-
-    def is_known_good(self, content, snapshot):
-        return True
-
-    def judge(self, content):
-        return Suspicion.NONE
-
-    def saw(self, *ended):
-        """Suspect nobody."""
-
-
 @dataclass
 class World:
     """All searchers, what is published, and what happens when."""
--- /dev/null
+++ b/basilwall/query/patience.py
@@ -0,0 +1,88 @@
+"""How long one query waits, by what its team weighs most.
+
+Both teams hedge after a quantile of the usual latency. One that weighs the
+tail takes what it tolerates as soon as a hedge has had its usual time too;
+one that weighs coverage waits until the deadline, and hedges again.
+"""
+
+import math
+
+from basilwall.document.model import Weighs
+from basilwall.query.policy import ServicePolicy
+from basilwall.query.progress import PartProgress
+from basilwall.records.catalogue import Snapshot
+
+#: A hedge and its answer, each after a hedge delay.
+DELAYS_OF_A_HEDGE = 2
+
+
+class Patience:
+    """The times of one query, in monotonic seconds."""
+
+    def __init__(
+        self,
+        policy: ServicePolicy,
+        started: float,
+        deadline: float,
+        snapshot: Snapshot,
+    ) -> None:
+        document = policy.document
+        self._started = started
+        self._deadline = deadline
+        self._delay = policy.hedge.delay
+        self._takes_less = document.weighs is Weighs.TAIL
+        self._tolerated = document.tolerated_coverage
+        self._parts = len(snapshot.parts)
+        self._records = sum(part.records for part in snapshot.parts)
+        self._covered = 0
+        self._answered_at: list[float] = []
+
+    @property
+    def first_hedge_at(self) -> float:
+        """When an attempt counts as late."""
+        return self._started + self._delay
+
+    @property
+    def ends_at(self) -> float:
+        """When the query ends with what it has by now."""
+        if not (self._takes_less and self._is_tolerated()):
+            return self._deadline
+        settles_at = self._started + self._delay * DELAYS_OF_A_HEDGE
+        return min(settles_at, self._deadline)
+
+    @property
+    def awaited(self) -> int:
+        """How many more answers can change what the query does."""
+        if not self._takes_less:
+            return self._parts
+        needed = math.ceil(self._parts * self._tolerated)
+        return max(needed - len(self._answered_at), 1)
+
+    def next_hedge_at(self, now: float) -> float:
+        """Return when a part that was hedged may be hedged again."""
+        if self._takes_less:
+            return self._deadline
+        return now + self._delay * DELAYS_OF_A_HEDGE
+
+    def note_answer(self, ended_at: float, progress: PartProgress) -> None:
+        """Count the answer of a part."""
+        self._answered_at.append(ended_at)
+        self._covered += progress.covered
+        self._records += progress.size - progress.part.records
+
+    def half_wait(self, now: float) -> float:
+        """Return how long half of the parts took, in seconds.
+
+        Args:
+            now: Stands for those that have not answered.
+        """
+        ordered = sorted(self._answered_at)
+        half = (self._parts + 1) // 2
+        at = ordered[half - 1] if len(ordered) >= half else now
+        return at - self._started
+
+    def _is_tolerated(self) -> bool:
+        needed = self._tolerated
+        if len(self._answered_at) < needed * self._parts:
+            return False
+        return self._covered >= needed * self._records
--- a/basilwall/query/progress.py
+++ b/basilwall/query/progress.py
@@ -66,7 +66,8 @@
     """What a scatter brought together.
 
     `stopped_for` is the snapshot that serves the query better, if the scatter
-    ended early for it.
+    ended early for it; `half_wait` is when half of the parts had ended, in
+    seconds.
     """
 
     answers: tuple[Answered, ...]
@@ -75,6 +76,7 @@
     may_have_run: bool
     stopped_for: Snapshot | None = None
     is_quarantined: bool = False
+    half_wait: float = 0
 
 
 def gather(
--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -220,22 +220,23 @@
 
 
 @pytest.mark.parametrize(
-    ('mode', 'reason'),
+    ('mode', 'weighs', 'reason'),
     [
-        ('silent', MissingReason.DEADLINE),
-        ('cut', MissingReason.LOST),
-        ('older', MissingReason.WRONG_SNAPSHOT),
-        ('shed', MissingReason.OVERLOADED),
-        ('empty', MissingReason.PARTIAL),
+        ('silent', 'coverage', MissingReason.DEADLINE),
+        ('silent', 'tail', MissingReason.GIVEN_UP),
+        ('cut', 'coverage', MissingReason.LOST),
+        ('older', 'coverage', MissingReason.WRONG_SNAPSHOT),
+        ('shed', 'coverage', MissingReason.OVERLOADED),
+        ('empty', 'coverage', MissingReason.PARTIAL),
     ],
 )
-def test_a_missing_part_is_named_with_its_reason(mode, reason):
+def test_a_missing_part_is_named_with_its_reason(mode, weighs, reason):
     world = make_world()
     for address in ADDRESSES[::3]:
         world.by_address[address].mode = mode
         if mode == 'older':
             world.by_address[address].serves = ['s0']
-    answer = ask(world, tolerated_coverage=0)
+    answer = ask(world, tolerated_coverage=0, weighs=weighs)
     missing = answer.coverage.missing[0]
     assert (missing.reason, missing.records) == (reason, 4)
     assert (answer.coverage.answered, answer.coverage.total) == (2, 3)
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -8,6 +8,7 @@
 from basilwall.backend.pool import AttemptJob
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.query.inbox import Event
+from basilwall.query.patience import Patience
 from basilwall.query.policy import ServicePolicy
 from basilwall.query.progress import (
     Gathered,
@@ -67,6 +68,12 @@
         self._attempts = watch.tried.attempts
         self._is_hopeless = False
         self._stopped_for: Snapshot | None = None
+        self._patience = Patience(
+            policy,
+            self._clock.monotonic(),
+            query.deadline,
+            snapshot,
+        )
 
     def run(self) -> Gathered:
         """Send to every part and gather until nothing more can come.
@@ -80,7 +87,7 @@
             while not self._has_stopped and (self._open or self._resume()):
                 now = self._clock.monotonic()
                 event = self._next_event(now)
-                if event is None and now >= self._query.deadline:
+                if event is None and now >= self._patience.ends_at:
                     break
                 if event is None:
                     self._hedge(self._clock.monotonic())
@@ -95,6 +102,7 @@
             self._attempts,
             self._may_have_run,
             self._stopped_for,
+            half_wait=self._patience.half_wait(self._clock.monotonic()),
         )
 
     @property
@@ -102,13 +110,15 @@
         return self._is_hopeless or self._stopped_for is not None
 
     def _send_first(self) -> None:
-        hedge_at = self._clock.monotonic() + self._policy.hedge.delay
+        hedge_at = self._patience.first_hedge_at
         self._policy.budget.earn(len(self._snapshot.parts))
         self._open = [
             PartProgress(part, hedge_at) for part in self._snapshot.parts
         ]
         for progress in tuple(self._open):
             progress.answer = self._watch.answer_of(progress.part)
+            if progress.answer is not None:
+                self._patience.note_answer(self._clock.monotonic(), progress)
             if progress.answer is not None or not self._send(progress):
                 self._end(progress)
             if self._has_stopped:
@@ -128,14 +138,15 @@
 
     def _next_event(self, now: float) -> Event | None:
         due = min(progress.hedge_at for progress in self._open)
-        wait = min(due, self._query.deadline) - now
-        return self._inbox.take(len(self._open), wait)
+        wait = min(due, self._patience.ends_at) - now
+        awaited = min(len(self._open), self._patience.awaited)
+        return self._inbox.take(awaited, wait)
 
     def _hedge(self, now: float) -> None:
         for progress in self._open:
             if progress.hedge_at > now:
                 continue
-            progress.hedge_at = self._query.deadline
+            progress.hedge_at = self._patience.next_hedge_at(now)
             if self._watch.is_suspect:
                 continue
             untried = len(progress.tried) < len(progress.part.searchers)
@@ -163,12 +174,13 @@
         job: AttemptJob,
         answer: Answered,
     ) -> None:
-        self._policy.hedge.observe(job.ended_at - job.sent_at)
+        self._policy.hedge.observe(job.ended_at - job.queued_at)
         if answer.snapshot != self._snapshot.snapshot_id:
             progress.reason = MissingReason.WRONG_SNAPSHOT
             self._try_again(progress)
             return
         progress.answer = answer
+        self._patience.note_answer(job.ended_at, progress)
         self._end(progress)
 
     def _take_failure(
@@ -213,6 +225,9 @@
         return False
 
     def _end(self, progress: PartProgress) -> None:
+        now = self._clock.monotonic()
+        for job in progress.jobs:
+            self._policy.hedge.observe(now - job.queued_at)
         progress.end()
         self._open.remove(progress)
         self._ended.append(progress)
@@ -228,9 +243,9 @@
             self._is_hopeless = highest < tolerated
 
     def _give_up_open(self) -> None:
-        reason = MissingReason.DEADLINE
-        if self._has_stopped:
-            reason = MissingReason.GIVEN_UP
+        reason = MissingReason.GIVEN_UP
+        if self._clock.monotonic() >= self._query.deadline:
+            reason = MissingReason.DEADLINE
         for progress in self._open:
             self._may_have_run |= bool(progress.jobs)
             progress.reason = reason
