Spare innocents when a zone is cut, and crashing requests never

A loss amid others is now "spared": it weighs nothing, and any answer clears it; a content spared once is still asked alone. Own victims never count as bystanders unless the content was answered before. An answer by another part halves a strike. Bystanders are ranked the same way each time, so that old deaths are known for old; a searcher that answers is no longer dead.

Ruled out: a longer window for "at the same time" (3 s and 0.5 s): a request sent again within it lost two searchers each time, unpunished.

Bound shown: two searchers, one more for each cut that happens beside, while VMs tell each other.

--- /dev/null
+++ b/basilwall/backend/bystanders.py
@@ -0,0 +1,114 @@
+"""Ask whether others died too that had nothing to do with a content.
+
+A content that crashes searchers takes those that ran it. A cut of a zone or
+a rack takes others as well.
+"""
+
+import random
+import threading
+import zlib
+from collections.abc import Callable, Collection
+
+from basilwall.backend.probe import find_dead
+from basilwall.parts.clock import Clock
+from basilwall.platform.state import PlatformState
+from basilwall.records.ids import SearcherAddress, ServiceName
+from basilwall.records.strike import Evidence
+
+#: How long searchers are watched for their death, in seconds.
+PROBE_WINDOW = 0.15
+#: Searchers asked beside the lost one, and how many must have died as well.
+BYSTANDERS = 12
+DEAD_BYSTANDERS = 2
+#: Searchers first seen dead within this time died together, in seconds. A
+#: content's next loss is asked about later than that, so that one cut of a
+#: zone spares it once.
+TOGETHER = 0.1
+
+Probe = Callable[[Collection[SearcherAddress], float], set[SearcherAddress]]
+
+
+class Bystanders:
+    """Asks a searcher that was lost, and others beside it, for a sign."""
+
+    def __init__(
+        self,
+        state: PlatformState,
+        clock: Clock,
+        source: random.Random,
+        probe: Probe = find_dead,
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._salt = source.random()
+        self._probe = probe
+        self._dead_since: dict[SearcherAddress, float] = {}
+        self._lock = threading.Lock()
+
+    def inquire(
+        self,
+        service: ServiceName,
+        searcher: SearcherAddress,
+        concerned: Collection[SearcherAddress],
+        also_lost: Collection[SearcherAddress],
+    ) -> Evidence:
+        """Find out how a searcher was lost.
+
+        Args:
+            service: The service that it serves.
+            searcher: The searcher whose connection broke.
+            concerned: Searchers whose death would say nothing.
+            also_lost: Searchers lost with it that are asked before others.
+
+        Returns:
+            SPARED if others died at the same time, else DIED or LOST.
+        """
+        left_out = {searcher, *concerned}
+        beside = self._choose(service, left_out | set(also_lost))
+        beside.update(sorted(set(also_lost) - left_out)[:BYSTANDERS])
+        dead = self._probe([searcher, *beside], PROBE_WINDOW)
+        newly_dead = self._newly_dead({searcher, *beside}, dead)
+        if len(newly_dead & beside) >= DEAD_BYSTANDERS:
+            return Evidence.SPARED
+        return Evidence.DIED if searcher in dead else Evidence.LOST
+
+    def note_alive(self, searcher: SearcherAddress) -> None:
+        """Note that a searcher has answered."""
+        if searcher in self._dead_since:
+            with self._lock:
+                self._dead_since.pop(searcher, None)
+
+    def _choose(
+        self,
+        service: ServiceName,
+        left_out: set[SearcherAddress],
+    ) -> set[SearcherAddress]:
+        catalogue = self._state.catalogue_by_service.get(service)
+        if catalogue is None or not catalogue.snapshots:
+            return set()
+        others = {
+            searcher
+            for part in catalogue.snapshots[0].parts
+            for searcher in part.searchers
+            if searcher not in left_out
+        }
+        return set(sorted(others, key=self._rank)[:BYSTANDERS])
+
+    def _rank(self, searcher: SearcherAddress) -> int:
+        """Rank searchers the same way each time, so that old deaths show."""
+        return zlib.crc32(f'{self._salt}/{searcher}'.encode())
+
+    def _newly_dead(
+        self,
+        asked: set[SearcherAddress],
+        dead: set[SearcherAddress],
+    ) -> set[SearcherAddress]:
+        now = self._clock.monotonic()
+        with self._lock:
+            for alive in asked - dead:
+                self._dead_since.pop(alive, None)
+            return {
+                address
+                for address in asked & dead
+                if now - self._dead_since.setdefault(address, now) < TOGETHER
+            }
--- a/basilwall/backend/suspects.py
+++ b/basilwall/backend/suspects.py
@@ -7,19 +7,17 @@
 """
 
 import itertools
-import random
 import threading
-from collections import OrderedDict
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
+from basilwall.backend.bystanders import Bystanders
 from basilwall.backend.pool import AttemptJob
-from basilwall.backend.probe import find_dead
 from basilwall.parts.clock import Clock
+from basilwall.parts.known_good import KnownGood
 from basilwall.parts.quarantine import Quarantine, Suspicion
 from basilwall.parts.tasks import TaskGroup
-from basilwall.platform.state import PlatformState
 from basilwall.records.attempt import Answered, AttemptOutcome, OutcomeTag
 from basilwall.records.catalogue import Part
 from basilwall.records.ids import (
@@ -31,22 +29,13 @@
 )
 from basilwall.records.strike import Evidence, Strike
 
-#: How long a searcher is watched for its death, in seconds.
-PROBE_WINDOW = 0.15
-#: Searchers asked beside the lost one, and how many must have died as well.
-BYSTANDERS = 12
-DEAD_BYSTANDERS = 2
-#: Investigations at once; a loss beyond them stays a loss.
-MAX_INVESTIGATIONS = 16
-#: Contents remembered as answered, the oldest forgotten first.
-MAX_KNOWN_GOOD = 10_000
+#: Inquiries at once; losses beyond them are too many for one content.
+MAX_INQUIRIES = 16
 MILLISECONDS = 1000
 LEAST_RETRY_AFTER_MS = 1000
 #: With these a content is not sent to anybody.
 REFUSED = frozenset((Suspicion.QUARANTINED, Suspicion.AWAITED))
 
-Probe = Callable[[Collection[SearcherAddress], float], set[SearcherAddress]]
-
 
 @dataclass(frozen=True, slots=True)
 class Content:
@@ -62,24 +51,19 @@
     def __init__(
         self,
         quarantine: Quarantine,
-        state: PlatformState,
+        bystanders: Bystanders,
         tasks: TaskGroup,
         clock: Clock,
-        source: random.Random,
         name: str,
-        probe: Probe = find_dead,
     ) -> None:
         self.tell: Callable[[], None] = _tell_nobody
         self._quarantine = quarantine
-        self._state = state
+        self._bystanders = bystanders
         self._tasks = tasks
         self._clock = clock
-        self._source = source
         self._incidents = (f'{name}/{number}' for number in itertools.count())
-        self._probe = probe
-        self._places = threading.BoundedSemaphore(MAX_INVESTIGATIONS)
-        self._known_good: OrderedDict[Fingerprint, SnapshotId] = OrderedDict()
-        self._long_dead: set[SearcherAddress] = set()
+        self._places = threading.BoundedSemaphore(MAX_INQUIRIES)
+        self._known_good = KnownGood()
         self._judged = threading.Condition()
 
     def judge(self, content: Content) -> Suspicion:
@@ -109,8 +93,10 @@
 
     def is_known_good(self, content: Content, snapshot: SnapshotId) -> bool:
         """Return whether a content was answered here from a snapshot."""
-        known = self._known_good.get(content.fingerprint) == snapshot
-        return known and self.judge(content) is Suspicion.NONE
+        answered_from = self._known_good.snapshot_of(content.fingerprint)
+        if answered_from != snapshot:
+            return False
+        return self.judge(content) is Suspicion.NONE
 
     def retry_after_ms(self, content: Content) -> int:
         """Return when a request of a quarantined content may come back."""
@@ -140,19 +126,16 @@
             self._suspect(content, outcome.searcher)
 
     def _clear(self, content: Content, part: Part, answer: Answered) -> None:
+        self._bystanders.note_alive(answer.searcher)
         if self._quarantine.clear(content.fingerprint, part.searchers):
             self._settle()
-        with self._judged:
-            self._known_good[content.fingerprint] = answer.snapshot
-            self._known_good.move_to_end(content.fingerprint)
-            if len(self._known_good) > MAX_KNOWN_GOOD:
-                self._known_good.popitem(last=False)
+        self._known_good.note(content.fingerprint, answer.snapshot)
 
     def _suspect(self, content: Content, searcher: SearcherAddress) -> None:
         incident = IncidentId(next(self._incidents))
         strike = partial(Strike, incident, searcher)
         if not self._places.acquire(blocking=False):
-            self._note(content, strike(Evidence.LOST))
+            self._note(content, strike(Evidence.SPARED))
             return
         self._note(content, strike(Evidence.PENDING))
         try:
@@ -176,28 +159,18 @@
         content: Content,
         searcher: SearcherAddress,
     ) -> Evidence:
-        bystanders = self._bystanders(content)
-        dead = self._probe([searcher, *bystanders], PROBE_WINDOW)
-        with self._judged:
-            together = (dead & bystanders) - self._long_dead
-            self._long_dead -= bystanders - dead
-            self._long_dead |= together
-        if len(together) >= DEAD_BYSTANDERS:
-            return Evidence.CLEARED
-        return Evidence.DIED if searcher in dead else Evidence.LOST
-
-    def _bystanders(self, content: Content) -> set[SearcherAddress]:
-        catalogue = self._state.catalogue_by_service.get(content.service)
-        if catalogue is None or not catalogue.snapshots:
-            return set()
-        others = {
-            searcher
-            for part in catalogue.snapshots[0].parts
-            for searcher in part.searchers
-        }
-        others -= self.struck(content) | self._quarantine.died()
-        chosen = min(len(others), BYSTANDERS)
-        return set(self._source.sample(sorted(others), chosen))
+        mark = content.fingerprint
+        concerned = self._quarantine.died_lately()
+        also_lost = self._quarantine.struck(mark)
+        if self._known_good.snapshot_of(mark) is None:
+            # It may have taken them itself; what was answered did not.
+            concerned |= self._quarantine.struck(mark, with_cleared=True)
+        return self._bystanders.inquire(
+            content.service,
+            searcher,
+            concerned,
+            also_lost,
+        )
 
     def _note(self, content: Content, strike: Strike) -> None:
         if self._quarantine.strike(content.fingerprint, [strike]):
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -31,10 +31,17 @@
 
 _WEIGHT_BY_EVIDENCE = {
     Evidence.PENDING: 1,
+    Evidence.SPARED: 0,
     Evidence.LOST: 1,
     Evidence.DIED: 2,
+    Evidence.DOUBTED: 1,
     Evidence.CLEARED: 0,
 }
+#: What an answer by another part makes of a strike.
+_RELIEVED_BY_EVIDENCE = {
+    Evidence.SPARED: Evidence.CLEARED,
+    Evidence.DIED: Evidence.DOUBTED,
+}
 
 
 class Suspicion(Enum):
@@ -151,7 +158,7 @@
             searchers: The replicas of the part that answered.
 
         Returns:
-            True if a strike was cleared by this.
+            True if a strike weighs less by this.
         """
         with self._lock:
             entry = self._by_fingerprint.get(fingerprint)
@@ -159,11 +166,7 @@
                 return False
             return self.strike(
                 fingerprint,
-                [
-                    Strike(one.incident, one.searcher, Evidence.CLEARED)
-                    for one in entry.strikes
-                    if one.searcher in searchers
-                ],
+                [_relieved(one, searchers) for one in entry.strikes],
                 entry.expires_at - self._clock.monotonic(),
             )
 
@@ -187,19 +190,37 @@
             return Suspicion.AWAITED
         return Suspicion.SUSPECT
 
-    def struck(self, fingerprint: Fingerprint) -> set[SearcherAddress]:
-        """Return the searchers that were lost under a content."""
+    def struck(
+        self,
+        fingerprint: Fingerprint,
+        *,
+        with_cleared: bool = False,
+    ) -> set[SearcherAddress]:
+        """Return the searchers that were lost under a content.
+
+        Args:
+            fingerprint: The hash of the request's content.
+            with_cleared: Whether strikes that were cleared count too.
+
+        Returns:
+            Their addresses.
+        """
         with self._lock:
             entry = self._live(fingerprint)
-            return set(entry.standing()) if entry else set()
-
-    def died(self) -> set[SearcherAddress]:
-        """Return the searchers that were found dead under any content."""
+            if entry is None:
+                return set()
+            if with_cleared:
+                return {one.searcher for one in entry.strikes}
+            return set(entry.standing())
+
+    def died_lately(self) -> set[SearcherAddress]:
+        """Return the searchers that died just now under any content."""
+        since = self._clock.monotonic() - SAME_DEATH
         return {
             searcher
             for entry in self.entries()
             for searcher, one in entry.standing().items()
-            if one.strike.evidence is Evidence.DIED
+            if one.strike.evidence >= Evidence.DIED and one.heard_at > since
         }
 
     def seconds_left(self, fingerprint: Fingerprint) -> float:
@@ -272,6 +293,14 @@
     return held.strike.evidence < one.evidence
 
 
+def _relieved(one: Strike, answered: Collection[SearcherAddress]) -> Strike:
+    """Return a strike as it stands after an answer."""
+    evidence = _RELIEVED_BY_EVIDENCE.get(one.evidence, one.evidence)
+    if one.searcher in answered:
+        evidence = Evidence.CLEARED
+    return Strike(one.incident, one.searcher, evidence)
+
+
 def _weight(one: _Counted) -> int:
     return _WEIGHT_BY_EVIDENCE[one.strike.evidence]
 
--- a/basilwall/query/canary.py
+++ b/basilwall/query/canary.py
@@ -33,6 +33,8 @@
     SearcherAddress,
 )
 
+#: Searchers that one query may lose before it is given up on.
+MAX_LOST = 2
 #: Time for peers to tell why the chosen searcher is gone, in seconds.
 PAUSE_AFTER_REFUSED = 0.01
 
@@ -49,6 +51,7 @@
     )
     searchers: set[SearcherAddress] = field(default_factory=set)
     attempts: int = 0
+    lost: int = 0
     may_have_run: bool = False
     ran_well: bool = False
     over: bool = False
@@ -68,8 +71,10 @@
         backends: Backends,
         suspects: Suspects,
         better_snapshot: Better,
+        pause: float = PAUSE_AFTER_REFUSED,
     ) -> None:
         self.tried = Tried()
+        self._pause = pause
         self._query = query
         self._snapshot = snapshot
         self._policy = policy
@@ -216,12 +221,13 @@
     def _take_failure(self, outcome: NotRun | MayHaveRun) -> None:
         rule = RULE_BY_KIND_AND_TAG[RequestKind.IDEMPOTENT, outcome.tag]
         self.tried.reason = rule.missing
-        self.tried.over |= not rule.again
+        self.tried.lost += outcome.tag is OutcomeTag.LOST
+        self.tried.over |= not rule.again or self.tried.lost >= MAX_LOST
         if outcome.tag is OutcomeTag.WRONG_SNAPSHOT:
             self.tried.stopped_for = self._better_snapshot()
             self.tried.over |= self.tried.stopped_for is not None
         if outcome.tag is OutcomeTag.NOT_SENT:
-            time.sleep(PAUSE_AFTER_REFUSED)
+            time.sleep(self._pause)
 
     def _cancel(self) -> None:
         for job in self._part_by_job:
--- /dev/null
+++ b/basilwall/query/canary_test.py
@@ -0,0 +1,332 @@
+"""Canary, strikes and quarantine of several VMs against a simple oracle.
+
+The oracle knows which contents crash searchers, and counts the searchers
+that each of them took. Everything between is the real code; searchers,
+probes and tasks are fakes that act at once.
+"""
+
+import itertools
+import random
+from collections import Counter, defaultdict
+from contextlib import contextmanager
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from basilwall.backend.bystanders import Bystanders
+from basilwall.backend.pool import AttemptJob
+from basilwall.backend.suspects import REFUSED, Content, Suspects
+from basilwall.document.model import Document
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.fingerprints import fingerprint
+from basilwall.parts.quarantine import EXPIRY, Quarantine
+from basilwall.platform.state import PlatformState
+from basilwall.query.canary import Canary, Tried
+from basilwall.query.policy import policy_of
+from basilwall.query.progress import Query, attempt_at
+from basilwall.records.answer import MissingReason
+from basilwall.records.attempt import Answered, MayHaveRun, NotRun, OutcomeTag
+from basilwall.records.catalogue import Catalogue, Part, Snapshot
+
+PARTS = 10
+REPLICAS = 3
+VMS = 3
+SERVICE = 'service'
+SNAPSHOT = Snapshot(
+    's1',
+    tuple(
+        Part(f'part-{part}', tuple(f'{part}:{one}' for one in range(REPLICAS)))
+        for part in range(PARTS)
+    ),
+)
+PART_BY_SEARCHER = {
+    searcher: part for part in SNAPSHOT.parts for searcher in part.searchers
+}
+CRASHING = (b'"crash-0"', b'"crash-1"')
+INNOCENT = tuple(b'"innocent-%d"' % number for number in range(4))
+CONTENT_BY_BODY = {
+    body: Content(SERVICE, fingerprint(SERVICE, 'query', body))
+    for body in CRASHING + INNOCENT
+}
+RESTART = 0.5
+#: No third zone or searcher dies of itself within this time, in seconds.
+CALM = 10
+POLICY = policy_of(Document(service=SERVICE))
+
+vms = st.integers(0, VMS - 1)
+beside = st.sets(st.tuples(vms, st.sampled_from(INNOCENT)), max_size=3)
+
+
+class Tasks:
+    """Runs tasks at once, or those of one moment after it."""
+
+    def __init__(self):
+        self.held = None
+
+    def start(self, task):
+        if self.held is None:
+            task()
+        else:
+            self.held.append(task)
+
+
+class FakePool:
+    """One VM's connections to one searcher of the world."""
+
+    def __init__(self, world, address):
+        self.world = world
+        self.address = address
+
+    @property
+    def is_reachable(self):
+        return self.world.is_alive(self.address)
+
+    def submit(self, job):
+        job.sent_at = self.world.clock.monotonic()
+        job.deliver(job, self.world.run(self.address, job.request.body))
+
+
+class FakePools:
+    """All searchers of the world."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def pick(self, part, tried):
+        left = [one for one in part.searchers if one not in tried]
+        return FakePool(self.world, left[0]) if left else None
+
+
+class World:
+    """The searchers, and the oracle's count of what crashed them."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.dead_until = dict.fromkeys(PART_BY_SEARCHER, 0)
+        self.taken_by_body = defaultdict(list)
+        self.last_crash = dict.fromkeys(CRASHING, 0)
+        self.sender = 0
+        self.beside = set()
+        self.tasks = Tasks()
+        self.bystanders = []
+        self.vms = []
+        for number in range(VMS):
+            state = PlatformState()
+            state.catalogue_by_service[SERVICE] = Catalogue(
+                SERVICE,
+                (SNAPSHOT,),
+            )
+            quarantine = Quarantine(self.clock)
+            bystanders = Bystanders(
+                state,
+                self.clock,
+                random.Random(number),
+                self.find_dead,
+            )
+            self.bystanders.append(bystanders)
+            suspects = Suspects(
+                quarantine,
+                bystanders,
+                self.tasks,
+                self.clock,
+                f'vm-{number}',
+            )
+            self.vms.append((quarantine, suspects))
+
+    def is_alive(self, searcher):
+        return self.dead_until[searcher] <= self.clock.monotonic()
+
+    def find_dead(self, addresses, window):
+        dead = {one for one in addresses if not self.is_alive(one)}
+        if self.tasks.held is None:
+            self.clock.advance(window)
+        return dead
+
+    @contextmanager
+    def one_moment(self):
+        """Let losses come together, and be inquired into together."""
+        self.tasks.held = []
+        yield
+        for task in self.tasks.held:
+            task()
+        self.tasks.held = None
+
+    def kill(self, searchers):
+        for searcher in searchers:
+            self.dead_until[searcher] = self.clock.monotonic() + RESTART
+
+    def run(self, searcher, body):
+        if not self.is_alive(searcher):
+            return NotRun(searcher, OutcomeTag.NOT_SENT)
+        if body not in CRASHING:
+            return Answered(searcher, 's1', b'[]', 1, 1)
+        self.kill([searcher])
+        self.taken_by_body[body].append((self.sender, searcher))
+        self.last_crash[body] = self.clock.monotonic()
+        beside, self.beside = self.beside, set()
+        sender = self.sender
+        with self.one_moment():
+            for vm, innocent in beside:
+                self.lose(vm, innocent, searcher)
+        self.resume(beside)
+        self.beside, self.sender = beside, sender
+        return MayHaveRun(searcher, OutcomeTag.LOST)
+
+    def lose(self, vm, body, searcher):
+        query = Query('beside', SERVICE, body, self.clock.monotonic() + 1)
+        part = PART_BY_SEARCHER[searcher]
+        job = AttemptJob(attempt_at(query, SNAPSHOT, part, 1), None)
+        self.vms[vm][1].saw(
+            CONTENT_BY_BODY[body],
+            part,
+            job,
+            MayHaveRun(searcher, OutcomeTag.LOST),
+        )
+
+    def tell(self, teller, hearer):
+        source, _ = self.vms[teller]
+        for entry in source.entries():
+            self.vms[hearer][0].strike(
+                entry.fingerprint,
+                entry.strikes,
+                source.seconds_left(entry.fingerprint),
+            )
+
+    def resume(self, around):
+        """Let queries that lost a searcher go on alone, as they do."""
+        for vm, body in around:
+            assert self.send(vm, body) or not self.can_answer()
+
+    def is_known(self, vm, body):
+        return self.vms[vm][1].is_known_good(CONTENT_BY_BODY[body], 's1')
+
+    def is_served_without(self, leaving):
+        """Return whether each part keeps two replicas, one to spare."""
+        alive = filter(self.is_alive, self.dead_until)
+        left = Counter(one.split(':')[0] for one in alive if one not in leaving)
+        return len(left) == PARTS and min(left.values()) >= REPLICAS - 1
+
+    def serve_others(self):
+        """Let queries of other contents be answered by all that live."""
+        for answering in filter(self.is_alive, PART_BY_SEARCHER):
+            for bystanders in self.bystanders:
+                bystanders.note_alive(answering)
+
+    def can_answer(self):
+        return any(map(self.is_alive, self.dead_until))
+
+    def send(self, vm, body):
+        """Run a query as the runner does; True if it was answered."""
+        suspects, content = self.vms[vm][1], CONTENT_BY_BODY[body]
+        self.sender = vm
+        deadline = self.clock.monotonic() + 1
+        query = Query('q', SERVICE, body, deadline)
+        alone = Canary(
+            query,
+            SNAPSHOT,
+            POLICY,
+            FakePools(self),
+            suspects,
+            self.clock,
+            pause=0,
+        )
+        known = suspects.is_known_good(content, 's1')
+        tried = Tried(passed=True) if known else alone.run(content)
+        if tried.passed:
+            assert body not in CRASHING, 'it would go to every part'
+            return True
+        if body in INNOCENT:
+            strikes = self.vms[vm][0].entries()
+            assert suspects.judge(content) not in REFUSED, strikes
+            assert tried.reason is MissingReason.NO_SEARCHER
+        return False
+
+
+class Crashes(RuleBasedStateMachine):
+    """Draws requests, deaths and what VMs tell each other."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.at_once = False
+        self.accidents = []
+
+    @rule(vm=vms, body=st.sampled_from(CRASHING), around=beside)
+    def send_crashing(self, vm, body, around):
+        self.world.beside = around
+        assert not self.world.send(vm, body)
+        self.world.beside = set()
+
+    @rule(vm=vms, body=st.sampled_from(INNOCENT))
+    def send_innocent(self, vm, body):
+        assert self.world.send(vm, body) or not self.world.can_answer()
+
+    @rule(searcher=st.sampled_from(sorted(PART_BY_SEARCHER)), around=beside)
+    def searcher_dies_of_itself(self, searcher, around):
+        self._die([searcher], around)
+
+    @rule(zone=st.integers(0, REPLICAS - 1), around=beside)
+    def zone_is_cut(self, zone, around):
+        cut = [one for one in PART_BY_SEARCHER if one.endswith(f':{zone}')]
+        self._die(cut, around)
+
+    def _die(self, searchers, around):
+        """Let searchers die; twice at once, and not more often."""
+        alive = [one for one in searchers if self.world.is_alive(one)]
+        now = self.world.clock.monotonic()
+        lately = sum(now - then < CALM for then in self.accidents)
+        if lately >= 2 or not self.world.is_served_without(alive):
+            return
+        self.accidents.append(now)
+        self.world.serve_others()
+        self.world.kill(alive)
+        with self.world.one_moment():
+            for vm, body in around if alive else ():
+                known = self.world.is_known(vm, body)
+                for searcher in alive if known else alive[:1]:
+                    self.world.lose(vm, body, searcher)
+        self.world.resume(around if alive else ())
+
+    @rule(teller=vms, hearer=vms)
+    def tell(self, teller, hearer):
+        self.world.tell(teller, hearer)
+
+    @rule(seconds=st.sampled_from((0.1, RESTART, 5, EXPIRY / 2)))
+    def time_passes(self, seconds):
+        world = self.world
+        world.clock.advance(seconds)
+        world.serve_others()
+        now = world.clock.monotonic()
+        for body in CRASHING:
+            if now - world.last_crash[body] > EXPIRY:
+                world.taken_by_body[body] = []
+
+    @initialize(at_once=st.booleans())
+    def choose(self, at_once):
+        self.at_once = at_once
+
+    @invariant()
+    def check(self):
+        if self.at_once:
+            for teller, hearer in itertools.permutations(range(VMS), 2):
+                self.world.tell(teller, hearer)
+        for taken in self.world.taken_by_body.values():
+            by_vm = Counter(vm for vm, _ in taken)
+            limit = 2 + len(self.accidents)
+            if self.at_once:
+                assert len(taken) <= limit, taken
+            assert max(by_vm.values(), default=0) <= 2 + limit, taken
+
+
+TestCrashes = Crashes.TestCase
+TestCrashes.settings = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+)
--- a/basilwall/records/strike.py
+++ b/basilwall/records/strike.py
@@ -10,14 +10,18 @@
 class Evidence(IntEnum):
     """What is known of one lost connection; it only ever rises.
 
-    PENDING waits for a verdict, LOST means that the searcher still accepts,
-    DIED that it does not, CLEARED that the content is not to blame.
+    PENDING waits for a verdict. SPARED means that others were lost at the
+    same time, LOST that the searcher still accepts, DIED that it does not,
+    DOUBTED that another part has answered the content since, CLEARED that
+    a replica of the same part has.
     """
 
     PENDING = 0
-    LOST = 1
-    DIED = 2
-    CLEARED = 3
+    SPARED = 1
+    LOST = 2
+    DIED = 3
+    DOUBTED = 4
+    CLEARED = 5
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -14,6 +14,7 @@
 
 from statsd import StatsClient
 
+from basilwall.backend.bystanders import Bystanders
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.returning import ReturnWatch
 from basilwall.backend.suspects import Suspects
@@ -169,10 +170,9 @@
         stack.callback(pools.close)
         suspects = Suspects(
             core.quarantine,
-            core.state,
+            Bystanders(core.state, core.clock, source),
             tasks,
             core.clock,
-            source,
             core.membership.own.incarnation,
         )
         desk = _desk(core, pools, clients, suspects, source)
