Watch a lost searcher longer before it counts as alive

On a busy machine (load 20 on 10 cores) a dying searcher closed its listener more than 150 ms after its connections.

A searcher that still accepts is now watched for 0.6 s more, and verdicts are awaited for 2 s.

--- a/basilwall/backend/bystanders.py
+++ b/basilwall/backend/bystanders.py
@@ -17,6 +17,8 @@
 
 #: How long searchers are watched for their death, in seconds.
 PROBE_WINDOW = 0.15
+#: How long a searcher that still accepts is watched on, in seconds.
+LONGER_WINDOW = 0.6
 #: Searchers asked beside the lost one, and how many must have died as well.
 BYSTANDERS = 12
 DEAD_BYSTANDERS = 2
@@ -70,7 +72,9 @@
         newly_dead = self._newly_dead({searcher, *beside}, dead)
         if len(newly_dead & beside) >= DEAD_BYSTANDERS:
             return Evidence.SPARED
-        return Evidence.DIED if searcher in dead else Evidence.LOST
+        if searcher in dead or self._probe([searcher], LONGER_WINDOW):
+            return Evidence.DIED
+        return Evidence.LOST
 
     def note_alive(self, searcher: SearcherAddress) -> None:
         """Note that a searcher has answered."""
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -25,7 +25,7 @@
 #: Strikes on one searcher within this time stand for one death, in seconds.
 SAME_DEATH = 3.0
 #: A verdict that takes longer will not come, in seconds.
-VERDICT_LIMIT = 1.0
+VERDICT_LIMIT = 2.0
 #: Two distinct searchers that died, or four that only cut the connection.
 WEIGHT_TO_QUARANTINE = 4
 
