--- a/basilwall/parts/sightings.py
+++ b/basilwall/parts/sightings.py
@@ -14,29 +14,30 @@
 
 #: How long a reply is believed, in seconds.
 BELIEF = 30.0
+#: A searcher that lacks a snapshot is asked again this late, in seconds.
+PROBE_AFTER = 1.0
 #: An entry this old is renewed by a reply that says the same, in seconds.
 RENEWAL = 1.0
 MAX_SEARCHERS = 20_000
+MAX_DENIALS = 20_000
+
+_Denial = tuple[SearcherAddress, SnapshotId]
 
 
 @dataclass(frozen=True, slots=True)
 class Sighting:
-    """What one reply said; `serves` is empty if it named no snapshots."""
+    """The snapshots that a searcher named in a reply."""
 
     serves: tuple[SnapshotId, ...]
-    denied: SnapshotId | None
     seen_at: float
 
-    def repeats(self, former: 'Sighting | None') -> bool:
-        """Return whether a recent sighting said the same."""
-        if former is None or self.seen_at - former.seen_at >= RENEWAL:
-            return False
-        same_serves = self.serves == former.serves
-        return same_serves and self.denied == former.denied
-
 
 class Sightings:
-    """The last sighting of each searcher, capped, oldest forgotten first."""
+    """The last sighting of each searcher, capped, oldest forgotten first.
+
+    A denial is kept by itself where the searcher names no snapshots, or names
+    one that it then does not answer from.
+    """
 
     def __init__(
         self,
@@ -48,42 +49,99 @@
         self._belief = belief
         self._max_searchers = max_searchers
         self._by_address: OrderedDict[SearcherAddress, Sighting] = OrderedDict()
+        self._denied_at: OrderedDict[_Denial, float] = OrderedDict()
         self._lock = threading.Lock()
 
     def note(
         self,
         address: SearcherAddress,
         serves: tuple[SnapshotId, ...],
-        denied: SnapshotId | None = None,
+        asked: SnapshotId,
+        *,
+        denied: bool,
     ) -> None:
         """Note what a reply said.
 
         Args:
             address: The searcher.
-            serves: The snapshots that it says it serves.
-            denied: The snapshot asked for, if it did not answer from it.
+            serves: The snapshots that it says it serves, if it says so.
+            asked: The snapshot that it was asked for.
+            denied: True if it did not answer from that snapshot.
         """
-        now = self._clock.monotonic()
-        sighting = Sighting(serves, denied, now)
-        if sighting.repeats(self._by_address.get(address)):
-            return
-        with self._lock:
-            self._by_address[address] = sighting
-            self._by_address.move_to_end(address)
-            while len(self._by_address) > self._max_searchers:
-                self._by_address.popitem(last=False)
+        if serves:
+            self._note_serves(address, serves)
+        if denied and (not serves or asked in serves):
+            self._note_denial((address, asked))
+        elif (address, asked) in self._denied_at:
+            with self._lock:
+                self._denied_at.pop((address, asked), None)
 
     def lacks(self, address: SearcherAddress, snapshot: SnapshotId) -> bool:
         """Return whether a searcher is known not to serve a snapshot."""
+        denied_at = self._denied_at.get((address, snapshot))
+        if denied_at is not None and self._is_fresh(denied_at):
+            return True
         held = self._by_address.get(address)
-        if held is None:
-            return False
-        if self._clock.monotonic() - held.seen_at >= self._belief:
+        if held is None or snapshot in held.serves:
             return False
-        if snapshot == held.denied:
-            return True
-        return bool(held.serves) and snapshot not in held.serves
+        return self._is_fresh(held.seen_at)
+
+    def claim_probe(
+        self,
+        address: SearcherAddress,
+        snapshot: SnapshotId,
+    ) -> bool:
+        """Return whether to ask a searcher again that lacks a snapshot.
+
+        A searcher that is never asked would be passed over for long after it
+        loaded the snapshot, so one attempt in a while goes to it.
+
+        Args:
+            address: A searcher that is known to lack the snapshot.
+            snapshot: The snapshot to ask for.
+
+        Returns:
+            True for one caller in each `PROBE_AFTER`.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            denied_at = self._denied_at.get((address, snapshot))
+            held = self._by_address.get(address)
+            known_at = max(denied_at or 0, held.seen_at if held else 0)
+            if now - known_at < PROBE_AFTER:
+                return False
+            if denied_at is not None:
+                self._denied_at[address, snapshot] = now
+            if held is not None:
+                self._by_address[address] = Sighting(held.serves, now)
+        return True
 
     def __len__(self) -> int:
         """Return how many searchers are remembered."""
         return len(self._by_address)
+
+    def _is_fresh(self, noted_at: float) -> bool:
+        return self._clock.monotonic() - noted_at < self._belief
+
+    def _note_serves(
+        self,
+        address: SearcherAddress,
+        serves: tuple[SnapshotId, ...],
+    ) -> None:
+        now = self._clock.monotonic()
+        held = self._by_address.get(address)
+        recent = held is not None and now - held.seen_at < RENEWAL
+        if recent and held is not None and held.serves == serves:
+            return
+        with self._lock:
+            self._by_address[address] = Sighting(serves, now)
+            self._by_address.move_to_end(address)
+            while len(self._by_address) > self._max_searchers:
+                self._by_address.popitem(last=False)
+
+    def _note_denial(self, denial: _Denial) -> None:
+        with self._lock:
+            self._denied_at[denial] = self._clock.monotonic()
+            self._denied_at.move_to_end(denial)
+            while len(self._denied_at) > MAX_DENIALS:
+                self._denied_at.popitem(last=False)
--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -1,6 +1,7 @@
 """Queries over searchers that go wrong, against what they really held."""
 
 import json
+from functools import partial
 from itertools import chain
 
 import pytest
@@ -270,6 +271,10 @@
         ask(world)
     assert ask(world).coverage.complete
     assert {ask(world).attempts for _ in range(9)} == {3}
+    lacking.serves, lacking.mode = ['s1'], 'normal'
+    world.clock.advance(2)
+    ask(world)
+    assert not world.sightings.lacks(ADDRESSES[0], 's1')
 
 
 def test_a_query_keeps_the_pools_of_the_snapshot_it_is_pinned_to():
@@ -288,3 +293,31 @@
     answer = ask(world)
     assert (answer.snapshot, answer.coverage.complete) == ('s1', True)
     assert world.pools.by_address.keys() == {'9:9'}
+
+
+def test_what_ran_before_the_restart_is_not_called_not_run():
+    world = make_world()
+    former, newer = (make_snapshot(name, 3, ADDRESSES) for name in ('s1', 's2'))
+    for _ in range(9):
+        ask(world)
+    world.publish(newer, former)
+    for place, address in enumerate(ADDRESSES):
+        searcher = world.by_address[address]
+        searcher.serves = ['s2'] if place % 3 else ['s1', 's2']
+        world.later(0.005, partial(setattr, searcher, 'mode', 'shed'))
+    world.ran.clear()
+    refusal = ask(world)
+    assert refusal.reason is RefusalReason.LOW_COVERAGE
+    assert refusal.coverage.answered == 0
+    assert world.ran
+    assert refusal.ran
+
+
+def test_a_hedge_that_answers_after_its_part_is_dropped():
+    world = make_world()
+    for place, address in enumerate(ADDRESSES):
+        mode = ('late', 'silent', 'normal')[place % 3]
+        world.by_address[address].mode = mode
+    answer = ask(world, timeout=0.2, tolerated_coverage=0)
+    assert answer.attempts > 3
+    check_answer(answer, make_snapshot('s1', 3, ADDRESSES).parts, 'me')
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -209,8 +209,11 @@
             self._open.remove(progress)
             self._deferred.append(progress)
             return
-        may_send = is_free or self._policy.budget.spend()
-        if not may_send or not self._send(progress):
+        # What one searcher lacks is remembered, so few attempts are denied
+        # for their snapshot, and these need no budget.
+        denied = progress.reason is MissingReason.WRONG_SNAPSHOT
+        may_send = is_free or denied or self._policy.budget.spend()
+        if not (may_send and self._send(progress)):
             self._end(progress)
 
     def _resume(self) -> bool:
--- a/basilwall/query/sending.py
+++ b/basilwall/query/sending.py
@@ -54,12 +54,16 @@
         self._snapshot = snapshot
         self._backends = backends
         self._inbox = inbox
+        self._has_probed = False
 
     def pick(self, progress: PartProgress) -> SearcherPool | None:
         """Choose the searcher for the next attempt at a part."""
         pick = self._backends.pools.pick
         lacking = self.lacking(progress.part)
         pool = pick(progress.part, progress.tried | lacking)
+        may_probe = not (self._has_probed or progress.tried)
+        if lacking and (may_probe or pool is None):
+            pool = self._probe(progress, lacking) or pool
         if pool is None and not progress.tried:
             # What is known of them may be old, so one of them is asked.
             return pick(progress.part, progress.tried)
@@ -91,12 +95,12 @@
         denied = outcome.tag is OutcomeTag.WRONG_SNAPSHOT
         if isinstance(outcome, Answered):
             denied = outcome.snapshot != wanted
-        if outcome.serves or denied:
-            self._backends.sightings.note(
-                outcome.searcher,
-                outcome.serves,
-                wanted if denied else None,
-            )
+        self._backends.sightings.note(
+            outcome.searcher,
+            outcome.serves,
+            wanted,
+            denied=denied,
+        )
 
     def lacking(self, part: Part) -> set[SearcherAddress]:
         """Return the searchers of a part known to lack the snapshot."""
@@ -106,3 +110,16 @@
             for address in part.searchers
             if self._backends.sightings.lacks(address, snapshot)
         }
+
+    def _probe(
+        self,
+        progress: PartProgress,
+        lacking: set[SearcherAddress],
+    ) -> SearcherPool | None:
+        snapshot = self._snapshot.snapshot_id
+        for address in lacking - progress.tried:
+            if self._backends.sightings.claim_probe(address, snapshot):
+                self._has_probed = True
+                others = set(progress.part.searchers) - {address}
+                return self._backends.pools.pick(progress.part, others)
+        return None
