Let the session check cover answers to which nobody contributed

Cause: an answer of no parts, allowed at a tolerated coverage of 0, has no run at any searcher, and the check looked one up.

After: such an answer is held against the map like any other.

--- a/tests/snapshots_test.py
+++ b/tests/snapshots_test.py
@@ -68,7 +68,7 @@
         for token, reply, _, _ in self.replies:
             body = reply.json()
             if reply.status == 200:
-                ran = ran_by_body[json.dumps(token)]
+                ran = ran_by_body.get(json.dumps(token), [])
                 self._check_answer(token, body, ran)
             else:
                 assert int(reply.headers['Retry-After']) > 0
