Give the attempts of orders ids that no other attempt carries

Cause: an order's attempts were named after the request id, which the caller chooses. Two callers with one id had equal attempt ids, so a searcher that swaps two replies could hand one caller the outcome of the other's order.

Ruled out: a part of the ticket in the id; one count for the process serves orders and queries alike.

Before: the new test in order/dispatch_test.py fails (trial with the former line, 1 failed, 10 passed). After: 11 passed.

--- a/basilwall/order/dispatch.py
+++ b/basilwall/order/dispatch.py
@@ -14,6 +14,7 @@
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.backend.suspects import REFUSED, Content, Suspects
+from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import Clock
 from basilwall.platform.state import PlatformState
 from basilwall.records.attempt import (
@@ -27,7 +28,6 @@
 )
 from basilwall.records.catalogue import Part, Snapshot
 from basilwall.records.ids import (
-    AttemptId,
     Fingerprint,
     RequestId,
     SearcherAddress,
@@ -97,12 +97,14 @@
         state: PlatformState,
         pools: SearcherPools,
         suspects: Suspects,
+        attempt_ids: AttemptIds,
         clock: Clock,
         is_fresh: Callable[[], bool] = _always,
     ) -> None:
         self._state = state
         self._pools = pools
         self._suspects = suspects
+        self._attempt_ids = attempt_ids
         self._clock = clock
         self._is_fresh = is_fresh
 
@@ -125,8 +127,8 @@
         place = int(order.fingerprint, _HEX)
         part = snapshot.parts[place % len(snapshot.parts)]
         sends = _Sends(self._passed_over(content, part))
-        for number in range(MAX_SENDS):
-            outcome = self._send(order, snapshot, part, sends, number)
+        for _ in range(MAX_SENDS):
+            outcome = self._send(order, snapshot, part, sends)
             if outcome is not None:
                 return outcome
         return _from_last(sends.last)
@@ -152,7 +154,6 @@
         snapshot: Snapshot,
         part: Part,
         sends: _Sends,
-        number: int,
     ) -> OrderOutcome | None:
         decided = _Moment(self._clock.monotonic(), self._clock.wall())
         pool = self._pools.pick(part, sends.tried)
@@ -164,7 +165,7 @@
             instance=part.instance,
             kind=RequestKind.NON_IDEMPOTENT,
             request_id=order.request_id,
-            attempt_id=AttemptId(f'{order.request_id}.{number}'),
+            attempt_id=self._attempt_ids.next(),
             snapshot=snapshot.snapshot_id,
             body=order.body,
             deadline=order.deadline,
--- a/basilwall/order/dispatch_test.py
+++ b/basilwall/order/dispatch_test.py
@@ -7,6 +7,7 @@
 from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.order import dispatch as module
 from basilwall.order.dispatch import Order, OrderDispatcher
+from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import ManualClock
 from basilwall.records.attempt import Answered, MayHaveRun, NotRun, OutcomeTag
 from basilwall.records.order import OrderReason, OrderState
@@ -67,14 +68,21 @@
     return Answered(address, 's1', b'[1]', 1, 1)
 
 
-def dispatch(pools, clock, **changes):
+def dispatch(pools, clock, times=1, **changes):
     part = SimpleNamespace(instance='p', searchers=['x', 'y', 'z'])
     snapshot = SimpleNamespace(snapshot_id='s1', parts=[part])
     catalogue = SimpleNamespace(snapshots=[snapshot])
     state = SimpleNamespace(catalogue_by_service={'desk': catalogue})
     fields = {'deadline': 1002.0, 'ticket_expires_at': 1060.0, **changes}
     order = Order('r', 'desk', b'{}', fingerprint='0', **fields)
-    return OrderDispatcher(state, pools, NoSuspects(), clock).dispatch(order)
+    dispatcher = OrderDispatcher(
+        state,
+        pools,
+        NoSuspects(),
+        AttemptIds('fake'),
+        clock,
+    )
+    return [dispatcher.dispatch(order) for _ in range(times)][-1]
 
 
 @pytest.mark.parametrize(
@@ -134,3 +142,10 @@
     assert outcome.state is OrderState.UNKNOWN
     assert pools.offered[0].cancelled
     pools.offered[0].deliver(pools.offered[0], answered('x'))
+
+
+def test_orders_of_one_request_id_share_no_attempt_id():
+    pools = FakePools(answered, shed, answered)
+    dispatch(pools, FakeClock(), times=2)
+    ids = [job.request.attempt_id for job in pools.offered]
+    assert len(set(ids)) == len(ids) == 3
--- a/basilwall/order/fleet_fakes_test.py
+++ b/basilwall/order/fleet_fakes_test.py
@@ -14,6 +14,7 @@
 from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.order.desk import OrderDesk, OrderForwarder
 from basilwall.order.dispatch import OrderDispatcher
+from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import Clock
 from basilwall.parts.handovers import Handovers
 from basilwall.parts.membership import Member, Membership
@@ -229,7 +230,13 @@
         self.desk = OrderDesk(
             self.mint,
             self.table,
-            OrderDispatcher(_STATE, self, NoSuspects(), self.clock),
+            OrderDispatcher(
+                _STATE,
+                self,
+                NoSuspects(),
+                AttemptIds(self.incarnation),
+                self.clock,
+            ),
             Forwarder(self, network),
             self.handovers,
             self.clock,
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -83,6 +83,7 @@
     handovers: Handovers
     metrics: Metrics
     admission: Admission
+    attempt_ids: AttemptIds
     pauses: PauseWatch
     watches: list[PlatformWatch]
 
@@ -231,6 +232,7 @@
         handovers=Handovers(clock),
         metrics=Metrics(_statsd(settings)),
         admission=Admission(settings.limits.requests_in_flight, clock),
+        attempt_ids=AttemptIds(own.incarnation),
         pauses=pauses,
         watches=[
             PlatformWatch(
@@ -269,6 +271,7 @@
             core.state,
             pools,
             suspects,
+            core.attempt_ids,
             core.clock,
             core.pauses.is_fresh,
         ),
@@ -291,7 +294,7 @@
         Backends(
             pools,
             sightings,
-            AttemptIds(core.membership.own.incarnation),
+            core.attempt_ids,
             core.clock,
         ),
         suspects,
