--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -297,18 +297,20 @@
 
 def test_what_ran_before_the_restart_is_not_called_not_run():
     world = make_world()
-    former, newer = (make_snapshot(name, 3, ADDRESSES) for name in ('s1', 's2'))
+    former = make_snapshot('s1', 3, ADDRESSES)
+    newer = make_snapshot('s2', 1, ADDRESSES[:1])
     for _ in range(9):
         ask(world)
     world.publish(newer, former)
     for place, address in enumerate(ADDRESSES):
         searcher = world.by_address[address]
         searcher.serves = ['s2'] if place % 3 else ['s1', 's2']
+        searcher.is_up = address not in {ADDRESSES[3], ADDRESSES[6]}
         world.later(0.005, partial(setattr, searcher, 'mode', 'shed'))
     world.ran.clear()
     refusal = ask(world)
     assert refusal.reason is RefusalReason.LOW_COVERAGE
-    assert refusal.coverage.answered == 0
+    assert (refusal.coverage.answered, refusal.coverage.total) == (0, 1)
     assert world.ran
     assert refusal.ran
 
