--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -86,13 +86,15 @@
         timeout=st.sampled_from([0.01, 0.1, 2]),
         tolerated=st.sampled_from([0, 0.5, 1]),
         extra_load=st.sampled_from([0, 0.5]),
+        weighs=st.sampled_from(['tail', 'coverage']),
         others=st.lists(delays, max_size=2),
     )
-    def query(self, timeout, tolerated, extra_load, others):
+    def query(self, timeout, tolerated, extra_load, weighs, others):
         document = Document(
             service=SERVICE,
             tolerated_coverage=tolerated,
             extra_load=extra_load,
+            weighs=weighs,
         )
 
         def ask_one():
@@ -320,6 +322,11 @@
     for place, address in enumerate(ADDRESSES):
         mode = ('late', 'silent', 'normal')[place % 3]
         world.by_address[address].mode = mode
-    answer = ask(world, timeout=0.2, tolerated_coverage=0)
+    answer = ask(
+        world,
+        timeout=0.2,
+        tolerated_coverage=0,
+        weighs='coverage',
+    )
     assert answer.attempts > 3
     check_answer(answer, make_snapshot('s1', 3, ADDRESSES).parts, 'me')
