--- a/basilwall/backend/suspects.py
+++ b/basilwall/backend/suspects.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import logging
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -36,6 +37,8 @@
 #: With these a content is not sent to anybody.
 REFUSED = frozenset((Suspicion.QUARANTINED, Suspicion.AWAITED))
 
+_log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Content:
@@ -173,6 +176,15 @@
         )
 
     def _note(self, content: Content, strike: Strike) -> None:
+        _log.warning(
+            'searcher lost',
+            extra={
+                'service': content.service,
+                'fingerprint': content.fingerprint,
+                'searcher': strike.searcher,
+                'evidence': strike.evidence.name.lower(),
+            },
+        )
         if self._quarantine.strike(content.fingerprint, [strike]):
             self._settle()
 
--- a/basilwall/settings/model.py
+++ b/basilwall/settings/model.py
@@ -44,6 +44,8 @@
 
     caller_address: Address
     peer_address: Address
+    #: Where to listen for other VMs, if that is not what they call it by.
+    peer_listen_address: Address | None = None
     #: One or more base addresses of the platform's configuration service.
     platform_addresses: Annotated[list[Address], Field(min_length=1)]
     #: Peer addresses of VMs to ask while no fleet list is known.
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -194,7 +194,8 @@
         suspects.tell = links.wake
         _follow_register(core, pools, links)
         peers = PeerService(facts, desk, core.handovers, core.clock)
-        stack.enter_context(peer_server(peers, settings.peer_address))
+        peer_listen = settings.peer_listen_address or settings.peer_address
+        stack.enter_context(peer_server(peers, peer_listen))
         tasks.start(links.run)
         _start_watches(core, tasks, links)
         server = stack.enter_context(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -66,6 +66,7 @@
     settings: Path
     caller: str
     peer: str
+    peer_listen: str
     process: subprocess.Popen = None
 
     def start(self):
@@ -151,15 +152,18 @@
     vms: int = 2,
     service_ms: float = 2,
     processes: int = 2,
+    forwarded: bool = False,
     **settings,
 ) -> Iterator[Deployment]:
     """Run a deployment for the length of a block."""
     shapes = SHAPES_BY_DEPLOYMENT[name]
     count = sum(shape.instances * shape.searchers for shape in shapes)
-    with reserved_ports(count + 1 + 2 * vms) as base:
+    with reserved_ports(count + 1 + 3 * vms) as base:
         made = Deployment(name, base, f'{HOST}:{base + count}', [])
         for number in range(vms):
-            port = base + count + 1 + 2 * number
+            port = base + count + 1 + 3 * number
+            if forwarded:
+                settings['peer_listen_address'] = f'{HOST}:{port + 2}'
             made.vms.append(_make_vm(made, folder, number, port, settings))
         try:
             _start(made, service_ms, processes)
@@ -184,7 +188,13 @@
     }
     path = folder / f'vm-{number}.json'
     path.write_text(json.dumps(content))
-    return Vm(path, content['caller_address'], content['peer_address'])
+    listen = content.get('peer_listen_address', content['peer_address'])
+    return Vm(
+        path,
+        content['caller_address'],
+        content['peer_address'],
+        listen,
+    )
 
 
 def _start(made, service_ms, processes):
