--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,13 +2,18 @@
 
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 
-from bench import data_path, relays, slopes
+from bench import data_path, policy, relays, slopes
 from bench.report import show
 
 SCENARIOS = {
     'data-path': data_path.run,
+    'stragglers': partial(policy.stragglers, name='qasr-al-jamr'),
+    'weighs': partial(policy.weighs, name='transandina'),
+    'overload': partial(policy.overload, name='qasr-al-jamr'),
+    'overload-transandina': partial(policy.overload, name='transandina'),
     'slopes': slopes.run,
     'relays': relays.run,
 }
