--- a/basilwall/parts/limiter.py
+++ b/basilwall/parts/limiter.py
@@ -24,6 +24,9 @@
 #: A class counts as active this long after it last asked, in seconds.
 ACTIVE_SECONDS = 1.0
 
+#: Places kept free for a class that is below its share.
+RESERVED = 1
+
 ClassT = TypeVar('ClassT', bound=Hashable)
 
 
@@ -77,8 +80,10 @@
     """Divides a limit among classes by weight; idle shares are lent.
 
     A class is always let in below its guaranteed share. Beyond it, it may
-    use what is left once the shares of all other active classes are set
-    aside. Not safe for threads by itself: its owner holds a lock.
+    use what is free but for one place for each other active class that is
+    below its own share (trunk reservation): under overload such a place goes
+    to that class, and below it hardly any is wasted. Not safe for threads by
+    itself: its owner holds a lock.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -110,7 +115,7 @@
         shares = self._shares(weights, limit, now)
         own = self._in_flight_by_class[name] + 1
         set_aside = sum(
-            max(share - self._in_flight_by_class[other], 0)
+            min(max(share - self._in_flight_by_class[other], 0), RESERVED)
             for other, share in shares.items()
             if other != name
         )
