--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -83,9 +83,9 @@
         self._closed = False
 
     @property
-    def cost(self) -> float:
-        """The expected wait for one more attempt, in seconds."""
-        return (self.in_flight + 1) * self._estimate.seconds
+    def latency(self) -> float:
+        """The latency to expect of the searcher, in seconds."""
+        return self._estimate.seconds
 
     @property
     def is_reachable(self) -> bool:
--- a/basilwall/query/patience.py
+++ b/basilwall/query/patience.py
@@ -1,8 +1,9 @@
 """How long one query waits, by what its team weighs most.
 
 Both teams hedge after a quantile of the usual latency. One that weighs the
-tail takes what it tolerates as soon as a hedge has had its usual time too;
-one that weighs coverage waits until the deadline, and hedges again.
+tail takes what it tolerates once a hedge has had its usual time too, or three
+times as long as that much of the answer took; one that weighs coverage waits
+until the deadline, and hedges again.
 """
 
 import math
@@ -13,6 +14,8 @@
 
 #: A hedge and its answer, each after a hedge delay.
 DELAYS_OF_A_HEDGE = 2
+#: What is left may take this many times as long as the tolerated part.
+TIMES_TOLERATED = 3
 
 
 class Patience:
@@ -34,6 +37,7 @@
         self._parts = parts
         self._half = (parts + 1) // 2
         self._whole = 0
+        self._tolerated_after = math.inf
         self._answered_at: list[float] = []
 
     @property
@@ -46,8 +50,11 @@
         """When the query ends with what it has by now."""
         if not self._takes_less or self._whole < self._tolerated:
             return self._deadline
-        settles_at = self._started + self._delay * DELAYS_OF_A_HEDGE
-        return min(settles_at, self._deadline)
+        settles_after = min(
+            self._delay * DELAYS_OF_A_HEDGE,
+            self._tolerated_after * TIMES_TOLERATED,
+        )
+        return min(self._started + settles_after, self._deadline)
 
     @property
     def awaited(self) -> int:
@@ -66,6 +73,8 @@
         """Count the answer of a part."""
         self._answered_at.append(ended_at)
         self._whole += answer.covered >= answer.total
+        if self._whole == self._tolerated:
+            self._tolerated_after = ended_at - self._started
 
     def half_wait(self, now: float) -> float:
         """Return how long half of the parts took, in seconds.
--- /dev/null
+++ b/basilwall/query/patience_test.py
@@ -0,0 +1,115 @@
+"""How long a query waits, by the word in its document."""
+
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from basilwall.backend.pool import AttemptJob
+from basilwall.document.model import Document
+from basilwall.query.congestion import is_congested
+from basilwall.query.inbox import Inbox
+from basilwall.query.patience import Patience
+from basilwall.query.policy import policy_of
+from basilwall.records.answer import (
+    Coverage,
+    MissingPart,
+    MissingReason,
+    QueryAnswer,
+    Refusal,
+    RefusalReason,
+)
+from basilwall.records.attempt import Answered, NotRun, OutcomeTag
+
+#: The hedge delay of a document with this deadline is 0.3 s at first.
+DEADLINE = 1.0
+WHOLE = Answered('s:1', 's1', b'[]', 5, 5)
+PARTIAL = Answered('s:1', 's1', b'[]', 4, 5)
+SETTINGS = settings(derandomize=True, max_examples=100, deadline=None)
+
+
+def _patience(weighs, tolerated, parts):
+    document = Document(
+        service='a',
+        weighs=weighs,
+        tolerated_coverage=tolerated,
+        deadline_ms=1000,
+    )
+    return Patience(policy_of(document), 0, DEADLINE, parts)
+
+
+@SETTINGS
+@given(
+    weighs=st.sampled_from(['tail', 'coverage']),
+    tolerated=st.sampled_from([0.5, 0.8, 0.95, 1]),
+    answers=st.lists(
+        st.tuples(st.floats(0.001, 0.9), st.sampled_from([WHOLE, PARTIAL])),
+        min_size=1,
+        max_size=20,
+    ),
+)
+def test_a_query_ends_early_only_with_what_is_tolerated(
+    weighs,
+    tolerated,
+    answers,
+):
+    parts = len(answers)
+    patience = _patience(weighs, tolerated, parts)
+    whole = 0
+    for at, answer in sorted(answers, key=lambda one: one[0]):
+        patience.note_answer(at, answer)
+        whole += answer is WHOLE
+        early = patience.ends_at < DEADLINE
+        assert not early or weighs == 'tail'
+        assert not early or whole >= math.ceil(parts * tolerated)
+        if weighs == 'tail' and whole >= parts * tolerated:
+            assert patience.ends_at <= DEADLINE * 3 / 5
+        assert 1 <= patience.awaited <= parts
+    times = sorted(at for at, _ in answers)
+    assert patience.half_wait(DEADLINE) == times[(parts + 1) // 2 - 1]
+
+
+def test_the_taker_is_woken_when_it_matters():
+    inbox = Inbox()
+    jobs = [AttemptJob(None, inbox.put) for _ in range(4)]
+    assert inbox.take(3, 0.01) is None
+    inbox.put(jobs[0], WHOLE)
+    assert inbox.take(1, 0) == (jobs[0], WHOLE)
+    inbox.put(jobs[1], WHOLE)
+    shed = NotRun('s:2', OutcomeTag.SHED)
+    inbox.put(jobs[2], shed)
+    assert inbox.take(9, 60) == (jobs[1], WHOLE)
+    assert inbox.take(9, 60) == (jobs[2], shed)
+
+
+def _coverage(answered, reason):
+    missing = tuple(MissingPart('i', reason) for _ in range(10 - answered))
+    return Coverage(answered, 10, 10 * answered, 100, missing)
+
+
+@pytest.mark.parametrize(
+    ('answered', 'reason', 'half_wait', 'congested'),
+    [
+        (10, MissingReason.DEADLINE, 0.04, False),
+        (10, MissingReason.DEADLINE, 0.06, True),
+        (9, MissingReason.DEADLINE, 0.04, False),
+        (9, MissingReason.OVERLOADED, 0.04, True),
+        (7, MissingReason.NO_SEARCHER, 0.04, False),
+    ],
+)
+def test_only_a_slow_half_or_a_shed_part_is_congestion(
+    answered,
+    reason,
+    half_wait,
+    congested,
+):
+    document = Document(service='a', deadline_ms=100)
+    coverage = _coverage(answered, reason)
+    answer = QueryAnswer('r', 's1', coverage, b'[]', 10, half_wait)
+    assert is_congested(answer, document) == congested
+    refusal = Refusal('r', RefusalReason.LOW_COVERAGE, 1, coverage=coverage)
+    shed = reason is MissingReason.OVERLOADED
+    assert is_congested(refusal, document) == shed
+    unknown = Refusal('r', RefusalReason.NO_SNAPSHOT, 1)
+    assert not is_congested(unknown, document)
