--- a/basilwall/query/runner.py
+++ b/basilwall/query/runner.py
@@ -142,7 +142,7 @@
         if left < asked.policy.hedge.delay:
             return None
         pin = self._pinning.pin(asked.query.service)
-        if pin is None or not pin.whole or pin.snapshot is former.snapshot:
+        if pin is None or not pin.whole or pin.snapshot == former.snapshot:
             return None
         return pin.snapshot
 
--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -330,3 +330,19 @@
     )
     assert answer.attempts > 3
     check_answer(answer, make_snapshot('s1', 3, ADDRESSES).parts, 'me')
+
+
+def test_the_same_snapshot_published_again_is_no_reason_to_restart():
+    world = make_world()
+    for address in ADDRESSES[::3]:
+        world.by_address[address].is_up = False
+    world.later(0, lambda: world.publish(make_snapshot('s1', 3, ADDRESSES)))
+
+    def come_back():
+        for address in ADDRESSES[::3]:
+            world.by_address[address].is_up = True
+
+    # After the last of three attempts was refused, before the query knows.
+    world.later(0, lambda: world.later(0, lambda: world.later(0, come_back)))
+    answer = ask(world, tolerated_coverage=0, weighs='coverage')
+    assert answer.attempts == 5
