--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -346,3 +346,13 @@
     world.later(0, lambda: world.later(0, lambda: world.later(0, come_back)))
     answer = ask(world, tolerated_coverage=0, weighs='coverage')
     assert answer.attempts == 5
+
+
+def test_what_is_still_running_when_it_is_given_up_is_not_called_not_run():
+    world = make_world()
+    for place, address in enumerate(ADDRESSES):
+        mode = ('shed', 'late', 'late')[place % 3]
+        world.by_address[address].mode = mode
+    refusal = ask(world, extra_load=0)
+    assert refusal.reason is RefusalReason.LOW_COVERAGE
+    assert refusal.ran
