--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -356,3 +356,16 @@
     refusal = ask(world, extra_load=0)
     assert refusal.reason is RefusalReason.LOW_COVERAGE
     assert refusal.ran
+
+
+def test_denials_need_no_budget():
+    world = make_world()
+    for address in (ADDRESSES[0], ADDRESSES[3]):
+        world.by_address[address].mode = 'shed'
+    for _ in range(50):
+        ask(world, extra_load=0, tolerated_coverage=0)
+    for address in (ADDRESSES[0], ADDRESSES[3]):
+        world.by_address[address].mode = 'normal'
+        world.by_address[address].serves = ['s0']
+    answers = [ask(world, extra_load=0, tolerated_coverage=0) for _ in '1234']
+    assert all(answer.coverage.complete for answer in answers)
