--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -330,3 +330,42 @@
     )
     assert answer.attempts > 3
     check_answer(answer, make_snapshot('s1', 3, ADDRESSES).parts, 'me')
+
+
+def test_the_same_snapshot_published_again_is_no_reason_to_restart():
+    world = make_world()
+    for address in ADDRESSES[::3]:
+        world.by_address[address].is_up = False
+    world.later(0, lambda: world.publish(make_snapshot('s1', 3, ADDRESSES)))
+
+    def come_back():
+        for address in ADDRESSES[::3]:
+            world.by_address[address].is_up = True
+
+    # After the last of three attempts was refused, before the query knows.
+    world.later(0, lambda: world.later(0, lambda: world.later(0, come_back)))
+    answer = ask(world, tolerated_coverage=0, weighs='coverage')
+    assert answer.attempts == 5
+
+
+def test_what_is_still_running_when_it_is_given_up_is_not_called_not_run():
+    world = make_world()
+    for place, address in enumerate(ADDRESSES):
+        mode = ('shed', 'late', 'late')[place % 3]
+        world.by_address[address].mode = mode
+    refusal = ask(world, extra_load=0)
+    assert refusal.reason is RefusalReason.LOW_COVERAGE
+    assert refusal.ran
+
+
+def test_denials_need_no_budget():
+    world = make_world()
+    for address in (ADDRESSES[0], ADDRESSES[3]):
+        world.by_address[address].mode = 'shed'
+    for _ in range(50):
+        ask(world, extra_load=0, tolerated_coverage=0)
+    for address in (ADDRESSES[0], ADDRESSES[3]):
+        world.by_address[address].mode = 'normal'
+        world.by_address[address].serves = ['s0']
+    answers = [ask(world, extra_load=0, tolerated_coverage=0) for _ in '1234']
+    assert all(answer.coverage.complete for answer in answers)
