--- a/basilwall/parts/departures_test.py
+++ b/basilwall/parts/departures_test.py
@@ -56,6 +56,17 @@
     assert two.is_leaving(ONE)
 
 
+def test_a_late_copy_does_not_bring_an_ended_sign_back():
+    clock, (one,) = make(1)
+    sign = Sign('another', 1, clock.monotonic())
+    one.take(ONE, sign)
+    one.returned(ONE)
+    one.take(ONE, sign)
+    assert not one.is_leaving(ONE)
+    one.take(ONE, Sign('another', 2, clock.monotonic()))
+    assert one.is_leaving(ONE)
+
+
 def test_the_list_is_believed_for_as_long_as_it_lasts():
     clock, (one,) = make(1)
     one.listed({ONE})
--- a/basilwall/parts/revisions_test.py
+++ b/basilwall/parts/revisions_test.py
@@ -149,3 +149,13 @@
     register.subscribe(lambda published: heard.append(published.revision))
     assert register.offer(PublishedValue('a', 1, b''))
     assert heard == [1]
+
+
+def test_a_refused_revision_is_checked_once_and_not_asked_for_again():
+    checked = []
+    register = RevisionRegister(lambda one: str(checked.append(one.revision)))
+    for _ in range(3):
+        register.offer(PublishedValue('a', 2, b''))
+    assert checked == [2]
+    assert register.wanted_of({'a': KeyDigest(2)}) == []
+    assert register.wanted_of({'a': KeyDigest(3)}) == ['a']
