--- a/basilwall/order/desk_test.py
+++ b/basilwall/order/desk_test.py
@@ -152,6 +152,7 @@
     mark = fingerprint('desk', KIND, b'{}')
     vm.desk.table.claim(vm.mint.read(begun), mark)
     running = refuse(vm.order(begun), OrderReason.OVERLOADED)
+    assert running.state is OrderState.UNKNOWN
     assert running.reason is OrderReason.STILL_RUNNING
     assert running.retry_after_ms
 
--- a/basilwall/peer/client.py
+++ b/basilwall/peer/client.py
@@ -120,20 +120,21 @@
         return self._forward(request, ticket.owner, max(left, 0))
 
     def ask(self, request: OrderRequest) -> OrderOutcome | None:
-        """Ask all peers at once; None if no one knows in time."""
+        """Ask all peers at once; None if no one knows in time.
+
+        A VM that has just started has heard from nobody yet, so those that
+        are only listed are asked too.
+        """
         left = min(request.deadline - self._clock.monotonic(), ASK_TIMEOUT)
         if left <= 0:
             return None
         message = _message(request, left)
         asked = [
-            self._begin(member.address, message, left)
-            for member in self._membership.alive()[:MAX_ASKED]
+            self._begin(address, message, left)
+            for address in self._membership.peers()[:MAX_ASKED]
         ]
-        for reply in asked:
-            outcome = _known(reply)
-            if outcome is not None:
-                return outcome
-        return None
+        known = (_known(reply) for reply in asked)
+        return next((one for one in known if one is not None), None)
 
     def _forward(
         self,
