--- /dev/null
+++ b/basilwall/backend/pools_test.py
@@ -0,0 +1,55 @@
+"""The caps of connections over all VMs, also while all are being replaced."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from basilwall.backend.pools import SearcherPools
+from basilwall.parts.clock import ManualClock
+from basilwall.parts.departures import Departures
+from basilwall.settings.model import Limits
+from basilwall.standin.deployment import (
+    SHAPES_BY_DEPLOYMENT,
+    make_catalogue,
+    make_snapshot,
+)
+
+SHAPES = [shape for shapes in SHAPES_BY_DEPLOYMENT.values() for shape in shapes]
+
+
+def _vm_tasks(shape):
+    started = []
+    clock = ManualClock()
+    pools = SearcherPools(
+        SimpleNamespace(start=started.append),
+        clock,
+        Departures(clock),
+        Limits().fleet,
+        random.Random(1),
+    )
+    snapshots = (make_snapshot(shape, 20_000, 's1'),)
+    for _ in range(3):
+        pools.follow(make_catalogue(shape, snapshots))
+    return pools, started
+
+
+@pytest.mark.parametrize('shape', SHAPES, ids=lambda shape: shape.name)
+def test_eighteen_vms_stay_below_the_cap(shape):
+    pools, started = _vm_tasks(shape)
+    searchers = shape.instances * shape.searchers
+    assert len(pools.by_address) == searchers
+    assert 18 * len(started) <= searchers * shape.connections
+    for pool in pools.by_address.values():
+        assert pool.connections >= 1
+        assert 18 * pool.connections <= shape.connections
+
+
+def test_the_same_searcher_is_not_used_twice():
+    pools, _ = _vm_tasks(SHAPES[0])
+    part = make_snapshot(SHAPES[0], 20_000, 's1').parts[0]
+    tried = []
+    for _ in part.searchers:
+        tried.append(pools.pick(part, tried).address)
+    assert sorted(tried) == sorted(part.searchers)
+    assert pools.pick(part, tried) is None
