Measure exchanges, gathering and the spread of news by size

Cause: docs/CAPACITY.md lacked what an exchange costs by members and keys, what gathering costs by parts, and how far news is from the last VM. Ruled out: counting bytes on the wire, which adds the frames of the transport.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,15 @@
 from functools import partial
 from pathlib import Path
 
-from bench import data_path, policy, relays, slopes
+from bench import (
+    data_path,
+    exchange,
+    policy,
+    relays,
+    scattering,
+    slopes,
+    spread,
+)
 from bench.report import show
 
 SCENARIOS = {
@@ -15,6 +23,9 @@
     'overload': partial(policy.overload, name='qasr-al-jamr'),
     'overload-transandina': partial(policy.overload, name='transandina'),
     'slopes': slopes.run,
+    'exchange': exchange.run,
+    'scattering': scattering.run,
+    'spread': spread.run,
     'relays': relays.run,
 }
 
--- /dev/null
+++ b/bench/exchange.py
@@ -0,0 +1,103 @@
+"""What one exchange between VMs costs, by members and by news.
+
+Both ends run in this process over a real channel, so the processor time is
+that of two VMs; the bytes are those of the messages without their frames.
+"""
+
+import random
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from types import SimpleNamespace
+
+from basilwall.parts.clock import SystemClock
+from basilwall.parts.departures import Departures
+from basilwall.parts.membership import Member, Membership
+from basilwall.parts.quarantine import Quarantine
+from basilwall.parts.revisions import RevisionRegister
+from basilwall.parts.tasks import task_group
+from basilwall.peer.client import PeerClients
+from basilwall.peer.facts import Facts
+from basilwall.peer.links import PeerLinks
+from basilwall.peer.server import PeerService, peer_server
+from basilwall.records.catalogue import PublishedValue
+from basilwall.records.ids import (
+    Incarnation,
+    SearcherAddress,
+    VmAddress,
+    Zone,
+)
+from basilwall.standin.ports import HOST, reserved_ports
+from bench.report import Row
+from bench.slopes import MICROSECONDS, Point, line
+
+MEMBERS = (9, 30, 100, 300, 1900)
+KEYS = (17, 50, 200, 1000)
+LEAVING = (0, 10, 50, 200)
+ROUNDS = 200
+
+
+def run(_: Path) -> Iterable[Row]:
+    """Measure exchanges of two VMs that know the same."""
+    for name, sizes, make in (
+        ('a member', MEMBERS, lambda size: _facts(members=size)),
+        ('a published key', KEYS, lambda size: _facts(keys=size)),
+        ('a searcher leaving', LEAVING, lambda size: _facts(leaving=size)),
+    ):
+        pairs = [(size, make(size), make(size)) for size in sizes]
+        lengths = [Point(size, _bytes(one, two)) for size, one, two in pairs]
+        times = [Point(size, _time(one, two)) for size, one, two in pairs]
+        yield line(f'exchange, {name}', 'bytes', lengths)
+        yield line(f'exchange, {name}', 'us of two VMs', times)
+
+
+def _facts(members: int = 9, keys: int = 17, leaving: int = 0) -> Facts:
+    clock = SystemClock()
+    own = _member(0)
+    membership = Membership(own, clock)
+    for number in range(1, members):
+        membership.heard_from(_member(number))
+    register = RevisionRegister()
+    for number in range(keys):
+        key = f'basilwall/documents/service-{number}'
+        register.offer(PublishedValue(key, number + 1, b'{}'))
+    departures = Departures(clock, own.incarnation)
+    for number in range(leaving):
+        departures.mark(SearcherAddress(f'10.0.0.9:{number + 1000}'))
+    return Facts(
+        register,
+        departures,
+        Quarantine(clock),
+        membership,
+        random.Random(1),
+    )
+
+
+def _member(number: int) -> Member:
+    return Member(
+        VmAddress(f'10.{number >> 8}.{number & 255}.7:8081'),
+        Incarnation(f'{number:032x}'),
+        Zone('amman-a'),
+    )
+
+
+def _bytes(one: Facts, two: Facts) -> float:
+    request = one.request()
+    return request.ByteSize() + two.answer(request).ByteSize()
+
+
+def _time(one: Facts, two: Facts) -> float:
+    clock = SystemClock()
+    service = PeerService(two, SimpleNamespace(), SimpleNamespace(), clock)
+    clients = PeerClients()
+    with reserved_ports(1) as port, task_group('exchange') as tasks:
+        address = VmAddress(f'{HOST}:{port}')
+        links = PeerLinks(one, clients, tasks, random.Random(1))
+        with peer_server(service, address):
+            assert links.exchange(address)
+            started = time.process_time()
+            for _ in range(ROUNDS):
+                links.exchange(address)
+            spent = time.process_time() - started
+            clients.close()
+    return spent / ROUNDS * MICROSECONDS
--- /dev/null
+++ b/bench/scattering.py
@@ -0,0 +1,100 @@
+"""What gathering costs a VM for each part, without sockets.
+
+The pools answer at once on the caller's thread: what is left is the choice of
+replicas, the requests, and the gathering.
+"""
+
+import random
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+from basilwall.backend.no_suspects_test import NoSuspects
+from basilwall.backend.pool import AttemptJob
+from basilwall.backend.pools import SearcherPools
+from basilwall.document.model import Document
+from basilwall.parts.attempt_ids import AttemptIds
+from basilwall.parts.clock import SystemClock
+from basilwall.parts.departures import Departures
+from basilwall.parts.sightings import Sightings
+from basilwall.platform.state import PlatformState
+from basilwall.query.pinning import Pinning
+from basilwall.query.policy import Policies
+from basilwall.query.progress import Query
+from basilwall.query.runner import QueryRunner
+from basilwall.query.sending import Backends
+from basilwall.records.attempt import Answered
+from basilwall.records.catalogue import Catalogue, Part, Snapshot
+from basilwall.records.ids import SearcherAddress
+from bench.report import Row
+from bench.slopes import MICROSECONDS, Point, line
+
+PARTS = (10, 100, 400, 1400)
+REPLICAS = 3
+ATTEMPTS = 14_000
+
+
+def run(_: Path) -> Iterable[Row]:
+    """Measure queries of several widths."""
+    points = [Point(size, _query_microseconds(size)) for size in PARTS]
+    yield line('query by parts', 'us', points)
+
+
+class _Pool:
+    in_flight = 0
+    latency = 0.005
+    is_reachable = True
+
+    def __init__(self, address: SearcherAddress) -> None:
+        self.address = address
+
+    def submit(self, job: AttemptJob) -> None:
+        job.searcher = self.address
+        snapshot = job.request.snapshot
+        job.deliver(job, Answered(self.address, snapshot, b'[1]', 9, 9))
+
+    def close(self) -> None:
+        """There is nothing to close."""
+
+
+class _Pools(SearcherPools):
+    def _open(self, address: SearcherAddress, share: int) -> None:
+        self.by_address[address] = _Pool(address)
+
+
+def _query_microseconds(size: int) -> float:
+    clock = SystemClock()
+    departures = Departures(clock, 'a')
+    sightings = Sightings(clock)
+    pools = _Pools(None, clock, departures, 1, random.Random(1))
+    state = PlatformState()
+    catalogue = Catalogue('wide', (_snapshot(size),))
+    state.catalogue_by_service['wide'] = catalogue
+    pools.follow(catalogue)
+    runner = QueryRunner(
+        Pinning(state, pools, departures, sightings),
+        Policies(),
+        Backends(pools, sightings, AttemptIds('a'), clock),
+        NoSuspects(),
+    )
+    document = Document(service='wide')
+    rounds = ATTEMPTS // size
+    started = time.process_time()
+    for _ in range(rounds):
+        query = Query('r', 'wide', b'{}', clock.monotonic() + 60)
+        assert runner.run(query, document).coverage.complete
+    return (time.process_time() - started) / rounds * MICROSECONDS
+
+
+def _snapshot(size: int) -> Snapshot:
+    return Snapshot(
+        's1',
+        tuple(
+            Part(
+                f'part-{number}',
+                tuple(f'10.0.{number}.{one}:1' for one in range(REPLICAS)),
+                9,
+            )
+            for number in range(size)
+        ),
+    )
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -64,7 +64,7 @@
 def run(_: Path) -> Iterable[Row]:
     """Measure all slopes."""
     yield from _state()
-    yield _line('connection task, resident', 'bytes', _connections())
+    yield line('connection task, resident', 'bytes', _connections())
     yield from _published()
 
 
@@ -75,7 +75,7 @@
         ('quarantine entry', _fill_quarantine),
         ('departure', _fill_departures),
     ):
-        yield _line(f'{name}, state', 'bytes', _bytes_points(fill))
+        yield line(f'{name}, state', 'bytes', _bytes_points(fill))
         yield _each(f'{name}, written', _time_points(fill))
 
 
@@ -175,8 +175,8 @@
             spent = (time.process_time() - started) / 10 * MICROSECONDS
             lengths.append(Point(size, len(body)))
             times.append(Point(size, spent))
-        yield _line(f'{name}, published', 'bytes', lengths)
-        yield _line(f'{name}, decoded', 'us', times)
+        yield line(f'{name}, published', 'bytes', lengths)
+        yield line(f'{name}, decoded', 'us', times)
 
 
 def _catalogue(size: int) -> Catalogue:
@@ -211,7 +211,8 @@
     return int(Path('/proc/self/statm').read_text().split()[1]) * PAGE_BYTES
 
 
-def _line(name: str, unit: str, points: list[Point]) -> Row:
+def line(name: str, unit: str, points: list[Point]) -> Row:
+    """Return a row with the straight line through measured points."""
     slope, intercept = statistics.linear_regression(
         [point.size for point in points],
         [point.cost for point in points],
