Cap the strikes of one content also when many come at once

A test of the caps failed first: 99 strikes told in one call were all kept, since what is new was decided for all before any was counted. Strikes are now counted one by one.

--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -136,15 +136,13 @@
             entry = self._by_fingerprint.get(fingerprint)
             if entry is None:
                 entry = QuarantineEntry(fingerprint, expires_at)
-            fresh = [one for one in strikes if _is_news(entry, one)]
-            for one in fresh:
-                self._count(entry, one, now)
-            if fresh:
+            fresh = [self._count(entry, one, now) for one in strikes]
+            if any(fresh):
                 entry.expires_at = max(entry.expires_at, expires_at)
                 self._by_fingerprint[fingerprint] = entry
                 self._by_fingerprint.move_to_end(fingerprint)
                 self._cap()
-        return bool(fresh)
+        return any(fresh)
 
     def clear(
         self,
@@ -243,11 +241,17 @@
         self._drop(entry)
         return None
 
-    def _count(self, entry: QuarantineEntry, one: Strike, now: float) -> None:
+    def _count(self, entry: QuarantineEntry, one: Strike, now: float) -> bool:
+        """Count a strike; False if it tells nothing new."""
         held = entry.counted.get(one.incident)
+        if held is None and len(entry.counted) >= MAX_STRIKES:
+            return False
+        if held is not None and held.strike.evidence >= one.evidence:
+            return False
         heard_at = held.heard_at if held else now
         entry.counted[one.incident] = _Counted(one, heard_at)
         self._fingerprints_by_searcher[one.searcher].add(entry.fingerprint)
+        return True
 
     def _is_explained(self, entry: QuarantineEntry, one: _Counted) -> bool:
         """Return whether a heavier content died on the searcher as well."""
@@ -286,13 +290,6 @@
                 self._fingerprints_by_searcher.pop(searcher)
 
 
-def _is_news(entry: QuarantineEntry, one: Strike) -> bool:
-    held = entry.counted.get(one.incident)
-    if held is None:
-        return len(entry.counted) < MAX_STRIKES
-    return held.strike.evidence < one.evidence
-
-
 def _relieved(one: Strike, answered: Collection[SearcherAddress]) -> Strike:
     """Return a strike as it stands after an answer."""
     evidence = _RELIEVED_BY_EVIDENCE.get(one.evidence, one.evidence)
--- a/basilwall/query/canary_test.py
+++ b/basilwall/query/canary_test.py
@@ -26,7 +26,7 @@
 from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.fingerprints import fingerprint
-from basilwall.parts.quarantine import EXPIRY, Quarantine
+from basilwall.parts.quarantine import EXPIRY, Quarantine, Suspicion
 from basilwall.parts.sightings import Sightings
 from basilwall.platform.state import PlatformState
 from basilwall.query.canary import Canary, Tried
@@ -253,6 +253,17 @@
         return False
 
 
+def test_own_victims_do_not_speak_for_a_content():
+    world = World()
+    victims = ['0:0', '1:0', '2:0']
+    world.kill(victims)
+    with world.one_moment():
+        for searcher in victims:
+            world.lose(0, CRASHING[0], searcher)
+    content = CONTENT_BY_BODY[CRASHING[0]]
+    assert world.vms[0][1].judge(content) is Suspicion.QUARANTINED
+
+
 class Crashes(RuleBasedStateMachine):
     """Draws requests, deaths and what VMs tell each other."""
 
