--- a/basilwall/order/fleet_test.py
+++ b/basilwall/order/fleet_test.py
@@ -252,8 +252,9 @@
         graceful=st.sampled_from((True, True, False)),
         lost=st.sampled_from((0, 0, 0, 1, 4)),
         again=st.booleans(),
+        pick=picks,
     )
-    def planned_stop(self, address, graceful, lost, again):
+    def planned_stop(self, address, graceful, lost, again, pick):
         vm = self._vm(address)
         if vm is None:
             return
@@ -270,11 +271,25 @@
             self._release(vm)
         call.result(PATIENCE)
         self.network.handovers_lost = 0
+        self._copy_after_handover(vm, pick)
         self.network.vm_by_address.pop(address)
         self._release(vm)
         if again:
             self._start(address)
 
+    def _copy_after_handover(self, stopping, pick):
+        awake = [one for one in self._live() if not one.paused]
+        others = [one for one in awake if one is not stopping]
+        if self.orders and others:
+            order, ticket = self._pick(pick)
+            self._now(ticket)
+            self._send(others[0], order, ticket)
+
+    @rule(pick=picks)
+    def rolling_restart(self, pick):
+        for address in ADDRESSES:
+            self.planned_stop(address, True, 0, True, pick)
+
     @rule(address=vms, kind=st.sampled_from(TROUBLES), number=picks)
     def trouble(self, address, kind, number):
         vm = self.network.vm_by_address.get(address)
@@ -378,6 +393,7 @@
         """Leave out what needs tickets."""
 
     planned_stop = send_and_hold
+    rolling_restart = send_and_hold
     trouble = send_and_hold
 
 
