--- a/basilwall/backend/http_exchange.py
+++ b/basilwall/backend/http_exchange.py
@@ -35,9 +35,9 @@
         self.status = status
         self.version = _VERSIONS[version]
         head = self._read_head()
-        self.chunked = head.get(b'transfer-encoding') == b'chunked'
+        self.chunked = b'transfer-encoding' in head
         self.chunk_left = None
-        self.length = None if self.chunked else _length(head)
+        self.length = _length(head)
         closes = b'close' in head.get(b'connection', b'')
         unbounded = self.length is None and not self.chunked
         self.will_close = closes or unbounded or version == 'HTTP/1.0'
@@ -112,8 +112,11 @@
 
 def _length(head: dict[bytes, bytes]) -> int | None:
     stated = head.get(b'content-length')
-    if stated is None and b'transfer-encoding' not in head:
+    coding = head.get(b'transfer-encoding')
+    if coding is not None:
+        if coding != b'chunked' or stated is not None:
+            raise http.client.HTTPException('no plain length')
         return None
-    if not stated or not stated.isdigit() or b'transfer-encoding' in head:
+    if stated is not None and not stated.isdigit():
         raise http.client.HTTPException('no plain length')
-    return int(stated)
+    return None if stated is None else int(stated)
--- a/basilwall/backend/http_exchange_test.py
+++ b/basilwall/backend/http_exchange_test.py
@@ -63,8 +63,10 @@
         b'%bContent-Length: 3\r\n\r\nab' % HEAD,
         b'%bContent-Length: -3\r\n\r\nabc' % HEAD,
         b'%bContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc' % HEAD,
-        b'%bContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc' % HEAD,
+        b'%bContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+        % HEAD,
         b'%bTransfer-Encoding: gzip\r\n\r\nabc' % HEAD,
+        b'%bTransfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc' % HEAD,
         b'%bTransfer-Encoding: chunked\r\n\r\n5\r\nab' % HEAD,
         b'%bTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n' % HEAD,
         b'%bX: y\r\n Content-Length: 3\r\n\r\nabc' % HEAD,
--- a/basilwall/query/patience_test.py
+++ b/basilwall/query/patience_test.py
@@ -1,5 +1,8 @@
 """How long a query waits, by the word in its document."""
 
+import threading
+import time
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -87,6 +90,16 @@
     assert inbox.take(9, 60) == (jobs[2], shed)
 
 
+def test_a_failure_wakes_a_taker_that_awaits_more():
+    inbox = Inbox()
+    shed = NotRun('s:2', OutcomeTag.SHED)
+    job = AttemptJob(None, inbox.put)
+    threading.Timer(0.05, inbox.put, (job, shed)).start()
+    started = time.monotonic()
+    assert inbox.take(9, 20) == (job, shed)
+    assert int(time.monotonic() - started) < 10
+
+
 def _coverage(answered, reason):
     missing = tuple(MissingPart('i', reason) for _ in range(10 - answered))
     return Coverage(answered, 10, 10 * answered, 100, missing)
