Hedge within the deadline and to a replica that was seen to answer

The frozen ones were a twentieth of the newest 1000 attempts, so the hedge delay became the deadline itself and nothing was hedged; and a hedge could go to the other frozen one, whose bad latency was half forgotten. The delay now never rises above its first value, and a second attempt goes by the latency that was seen, however long ago. hedge_test and choice_test failed first.

--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -75,18 +75,13 @@
         self.in_flight = 0
         self._clock = clock
         self._departures = departures
-        self._estimate = LatencyEstimate(clock)
+        self.estimate = LatencyEstimate(clock)
         self._backoff = FIRST_BACKOFF
         self._passed_over_until = clock.monotonic()
         self._jobs: queue.SimpleQueue[AttemptJob | None] = queue.SimpleQueue()
         self._lock = threading.Lock()
         self._closed = False
 
-    @property
-    def latency(self) -> float:
-        """The latency to expect of the searcher, in seconds."""
-        return self._estimate.seconds
-
     @property
     def is_reachable(self) -> bool:
         """False for a while after a connection could not be made."""
@@ -182,15 +177,15 @@
         latency = self._clock.monotonic() - job.sent_at
         if isinstance(outcome, Answered) and not job.cancelled:
             self._backoff = FIRST_BACKOFF
-            self._estimate.answered(latency)
+            self.estimate.answered(latency)
         else:
-            self._estimate.unanswered(latency)
+            self.estimate.unanswered(latency)
 
     def _note_unreachable(self) -> None:
         now = self._clock.monotonic()
         if now < self._passed_over_until:
             return
-        self._estimate.start_cold()
+        self.estimate.start_cold()
         self._passed_over_until = now + self._backoff
         self._backoff = min(self._backoff * 2, HIGHEST_BACKOFF)
 
--- a/basilwall/backend/pools.py
+++ b/basilwall/backend/pools.py
@@ -106,7 +106,7 @@
             and (pool := self.by_address.get(address)) is not None
         ]
         reachable = [pool for pool in usable if pool.is_reachable]
-        return choose(reachable or usable, self._source)
+        return choose(reachable or usable, self._source, again=bool(tried))
 
     def close(self) -> None:
         """Close all pools once their queued attempts are through."""
--- a/basilwall/parts/choice.py
+++ b/basilwall/parts/choice.py
@@ -40,8 +40,14 @@
         """The expected latency, in seconds."""
         now = self._clock.monotonic()
         faded = 2 ** ((self._sampled_at - now) / HALF_LIFE)
-        warmth = min((now - self._cold_since) / WARM_UP_SECONDS, 1)
-        return self._smoothed * faded * (1 + COLD_FACTOR * (1 - warmth))
+        return self.seen * faded
+
+    @property
+    def seen(self) -> float:
+        """The latency that was seen, however long ago."""
+        since = self._clock.monotonic() - self._cold_since
+        warmth = min(since / WARM_UP_SECONDS, 1)
+        return self._smoothed * (1 + COLD_FACTOR * (1 - warmth))
 
     def answered(self, latency: float) -> None:
         """Count an attempt that answered after `latency` seconds."""
@@ -70,8 +76,8 @@
         """The requests that this process has at it."""
 
     @property
-    def latency(self) -> float:
-        """The latency to expect of it, in seconds."""
+    def estimate(self) -> LatencyEstimate:
+        """What was seen of its latency."""
 
 
 CandidateT = TypeVar('CandidateT', bound=Candidate)
@@ -80,6 +86,7 @@
 def choose(
     candidates: Sequence[CandidateT],
     source: random.Random,
+    again: bool = False,
 ) -> CandidateT | None:
     """Return the replica with the least expected wait.
 
@@ -89,14 +96,25 @@
     Args:
         candidates: The replicas that may be used.
         source: The random source, which decides between equals.
+        again: Whether a first attempt failed or is late: then none is tried
+            only because the bad that was seen of it is long ago.
 
     Returns:
         One of the candidates, or None if there is none.
     """
     if not candidates:
         return None
-    alike = min(one.latency for one in candidates) * CLEARLY_SLOWER
+    latency_of = _seen_latency if again else _latency
+    alike = min(map(latency_of, candidates)) * CLEARLY_SLOWER
     return min(
         source.sample(candidates, len(candidates)),
-        key=lambda one: (one.in_flight + 1) * max(one.latency, alike),
+        key=lambda one: (one.in_flight + 1) * max(latency_of(one), alike),
     )
+
+
+def _latency(candidate: Candidate) -> float:
+    return candidate.estimate.seconds
+
+
+def _seen_latency(candidate: Candidate) -> float:
+    return candidate.estimate.seen
--- a/basilwall/parts/choice_test.py
+++ b/basilwall/parts/choice_test.py
@@ -1,6 +1,7 @@
 """Choice of a replica: the worst is passed over, and tried again later."""
 
 import random
+from types import SimpleNamespace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -15,13 +16,10 @@
     """A replica with a latency, or with an estimate of it."""
 
     def __init__(self, latency=0, in_flight=0, estimate=None):
-        self.estimate = estimate
-        self.given = latency
         self.in_flight = in_flight
-
-    @property
-    def latency(self):
-        return self.estimate.seconds if self.estimate else self.given
+        self.latency = latency
+        known = SimpleNamespace(seconds=latency, seen=latency)
+        self.estimate = estimate or known
 
 
 @SETTINGS
@@ -61,10 +59,10 @@
             assert estimate.seconds >= before
 
 
-def _share_of_first(estimates, draws=400):
+def _share_of_first(estimates, draws=400, again=False):
     source = random.Random(5)
     replicas = [Replica(estimate=estimate) for estimate in estimates]
-    chosen = [choose(replicas, source) for _ in range(draws)]
+    chosen = [choose(replicas, source, again) for _ in range(draws)]
     return chosen.count(replicas[0]) / draws
 
 
@@ -90,6 +88,10 @@
     for one in frozen:
         one.unanswered(0.05)
     assert _share_of_first([live, *frozen]) == 1
+    clock.advance(30)
+    live.answered(0.005)
+    assert _share_of_first([live, *frozen]) == 0
+    assert _share_of_first([live, *frozen], again=True) == 1
 
 
 def test_a_cold_start_gets_little_until_it_is_warm():
--- a/basilwall/parts/hedge.py
+++ b/basilwall/parts/hedge.py
@@ -2,7 +2,9 @@
 
 The quantile is taken over the newest samples, so that a service that becomes
 slow as a whole raises its own delay and isn't hedged all over. It is exact:
-sorting a window now and then is cheaper than a walk through a histogram.
+sorting a window now and then is cheaper than a walk through a histogram. It
+never rises above the delay given at the start: when many replicas freeze at
+once their time is the quantile, and it is then that a hedge is needed.
 """
 
 import threading
@@ -20,6 +22,7 @@
     def __init__(self, quantile: float, initial: float) -> None:
         self._quantile = quantile
         self._delay = initial
+        self._ceiling = initial
         self._window: deque[float] = deque(maxlen=WINDOW_SAMPLES)
         self._until_refresh = FIRST_SAMPLES
         self._lock = threading.Lock()
@@ -40,4 +43,5 @@
 
     def _refresh(self) -> None:
         ordered = sorted(self._window)
-        self._delay = ordered[int(len(ordered) * self._quantile)]
+        found = ordered[int(len(ordered) * self._quantile)]
+        self._delay = min(found, self._ceiling)
