Spread the callers of queries that were given up as well

A query below the tolerated coverage told its caller 200 ms, whatever the load and to all alike; it now counts as a refusal and gets the time that follows it.

--- a/basilwall/caller/admission.py
+++ b/basilwall/caller/admission.py
@@ -40,13 +40,6 @@
         self.retry_after_ms = retry_after_ms
 
 
-@dataclass(slots=True)
-class Admitted:
-    """One request in flight; set `congested` if the searchers were."""
-
-    congested: bool = False
-
-
 class _ServiceGate:
     """What one service has in flight, by class."""
 
@@ -83,6 +76,22 @@
             self.usual_time += SMOOTHING * (taken - self.usual_time)
 
 
+@dataclass(slots=True)
+class Admitted:
+    """One request in flight; set `congested` if the searchers were."""
+
+    gate: _ServiceGate
+    congested: bool = False
+
+    def given_up(self) -> int:
+        """Count it as refused after all.
+
+        Returns:
+            When its caller may come back, in milliseconds from now.
+        """
+        return int(self.gate.come_back.refused() * MILLISECONDS) + 1
+
+
 class Admission:
     """Counts requests in flight against their caps."""
 
@@ -127,7 +136,7 @@
         started = self._clock.monotonic()
         gate = self._gate(document.service, kind)
         self._enter(gate, document, class_name, left)
-        admitted = Admitted()
+        admitted = Admitted(gate)
         try:
             yield admitted
         finally:
--- a/basilwall/caller/service.py
+++ b/basilwall/caller/service.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from http import HTTPStatus
 
 import msgspec
@@ -167,6 +168,9 @@
         ) as admitted:
             outcome = self._queries.run(query, document)
             admitted.congested = is_congested(outcome, document)
+            if isinstance(outcome, Refusal):
+                wait = admitted.given_up()
+                outcome = replace(outcome, retry_after_ms=wait)
         return outcome
 
     def _order_deadline(
