--- a/bench/scattering.py
+++ b/bench/scattering.py
@@ -14,6 +14,7 @@
 from basilwall.backend.pools import SearcherPools
 from basilwall.document.model import Document
 from basilwall.parts.attempt_ids import AttemptIds
+from basilwall.parts.choice import LatencyEstimate
 from basilwall.parts.clock import SystemClock
 from basilwall.parts.departures import Departures
 from basilwall.parts.sightings import Sightings
@@ -42,11 +43,11 @@
 
 class _Pool:
     in_flight = 0
-    latency = 0.005
     is_reachable = True
 
-    def __init__(self, address: SearcherAddress) -> None:
+    def __init__(self, address: SearcherAddress, clock: SystemClock) -> None:
         self.address = address
+        self.estimate = LatencyEstimate(clock)
 
     def submit(self, job: AttemptJob) -> None:
         job.searcher = self.address
@@ -59,7 +60,7 @@
 
 class _Pools(SearcherPools):
     def _open(self, address: SearcherAddress, share: int) -> None:
-        self.by_address[address] = _Pool(address)
+        self.by_address[address] = _Pool(address, self._clock)
 
 
 def _query_microseconds(size: int) -> float:
