--- a/basilwall/query/fakes_test.py
+++ b/basilwall/query/fakes_test.py
@@ -224,8 +224,8 @@
         reply = {'attempt_id': request.attempt_id, 'serves': serves}
         if mode == 'shed' or not searcher.serves:
             return json.dumps(reply | {'outcome': 'shed'}).encode()
-        used = wanted if wanted in searcher.serves else searcher.serves[0]
-        if used != wanted and mode != 'older':
+        used = 's0' if mode == 'older' else wanted
+        if wanted not in searcher.serves:
             return json.dumps(reply | {'outcome': 'wrong_snapshot'}).encode()
         self.ran.append(request.body)
         held = self.held(used, request.instance)
--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -34,6 +34,7 @@
     'mute',
 )
 addresses = st.sampled_from(ADDRESSES)
+some_addresses = st.sets(addresses, min_size=1)
 delays = st.sampled_from([0, 0.001, 0.003, 0.02])
 
 
@@ -140,21 +141,24 @@
         self.published = self.published[:1]
         self.world.later(delay, lambda: self.world.publish(*self.published))
 
-    @rule(address=addresses, keep=st.booleans(), delay=delays)
-    def load_newest(self, address, keep, delay):
-        searcher = self.world.by_address[address]
+    @rule(chosen=some_addresses, keep=st.booleans(), delay=delays)
+    def load_newest(self, chosen, keep, delay):
         newest = self.published[0].snapshot_id
 
         def load():
-            former = searcher.serves if keep else []
-            searcher.serves = [newest, *former][:2]
+            for searcher in map(self.world.by_address.get, chosen):
+                former = searcher.serves if keep else []
+                searcher.serves = [newest, *former][:2]
 
         self.world.later(delay, load)
 
-    @rule(address=addresses, mode=st.sampled_from(MODES), delay=delays)
-    def spoil(self, address, mode, delay):
-        searcher = self.world.by_address[address]
-        self.world.later(delay, lambda: setattr(searcher, 'mode', mode))
+    @rule(chosen=some_addresses, mode=st.sampled_from(MODES), delay=delays)
+    def spoil(self, chosen, mode, delay):
+        def change():
+            for address in chosen:
+                self.world.by_address[address].mode = mode
+
+        self.world.later(delay, change)
 
     @rule(address=addresses, is_up=st.booleans(), delay=delays)
     def lose(self, address, is_up, delay):
@@ -237,8 +241,6 @@
     world = make_world()
     for address in ADDRESSES[::3]:
         world.by_address[address].mode = mode
-        if mode == 'older':
-            world.by_address[address].serves = ['s0']
     answer = ask(world, tolerated_coverage=0, weighs=weighs)
     missing = answer.coverage.missing[0]
     assert (missing.reason, missing.records) == (reason, 4)
