Follow the choice of replicas in the queries' fakes

Cause: the choice now compares estimates of latency, which the fake pools did not have: 18 tests of query/runner_test.py failed on main.

--- a/basilwall/query/fakes_test.py
+++ b/basilwall/query/fakes_test.py
@@ -11,6 +11,7 @@
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.replies import RawReply, ReplyError, read_reply
 from basilwall.parts.attempt_ids import AttemptIds
+from basilwall.parts.choice import LatencyEstimate
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.departures import Departures
 from basilwall.parts.sightings import Sightings
@@ -64,6 +65,9 @@
     latency: float = 0.005
     in_flight: int = 0
 
+    def __post_init__(self):
+        self.estimate = LatencyEstimate(self.world.clock)
+
     @property
     def is_reachable(self):
         return self.world.by_address[self.address].is_up
