--- /dev/null
+++ b/basilwall/backend/leaving_test.py
@@ -0,0 +1,58 @@
+"""Signs of leaving at the pool: work that waits, and replies that tell."""
+
+import queue
+import socket
+import time
+from contextlib import closing
+
+from basilwall.backend.pool import AttemptJob, SearcherPool
+from basilwall.parts.clock import SystemClock
+from basilwall.parts.departures import Departures
+from basilwall.parts.tasks import task_group
+from basilwall.records.attempt import (
+    AttemptRequest,
+    NotRun,
+    OutcomeTag,
+    RequestKind,
+)
+
+LEAVING = b'{"outcome":"leaving","attempt_id":"a"}'
+
+
+def submit(pool):
+    ended = queue.SimpleQueue()
+    request = AttemptRequest(
+        service='s',
+        instance='i',
+        kind=RequestKind.NON_IDEMPOTENT,
+        request_id='r',
+        attempt_id='a',
+        snapshot='s1',
+        body=b'{}',
+        deadline=time.monotonic() + 5,
+    )
+    pool.submit(AttemptJob(request, lambda _, outcome: ended.put(outcome)))
+    return ended
+
+
+def test_work_that_waits_is_held_back_once_the_searcher_leaves():
+    clock = SystemClock()
+    departures = Departures(clock)
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        server.settimeout(5)
+        address = f'127.0.0.1:{server.getsockname()[1]}'
+        pool = SearcherPool(address, 1, clock, departures)
+        with task_group('test') as tasks, closing(pool):
+            first, waiting = submit(pool), submit(pool)
+            pool.start(tasks)
+            searcher, _ = server.accept()
+            with searcher:
+                searcher.settimeout(5)
+                assert searcher.recv(65536).startswith(b'POST')
+                head = b'HTTP/1.1 503 .\r\nContent-Length: %d\r\n\r\n'
+                searcher.sendall(head % len(LEAVING) + LEAVING)
+                assert first.get(timeout=5).tag is OutcomeTag.LEAVING
+                outcome = waiting.get(timeout=5)
+                assert isinstance(outcome, NotRun)
+                assert outcome.detail == 'leaving'
+    assert departures.is_leaving(address)
