--- a/basilwall/query/runner_test.py
+++ b/basilwall/query/runner_test.py
@@ -89,8 +89,9 @@
         extra_load=st.sampled_from([0, 0.5]),
         weighs=st.sampled_from(['tail', 'coverage']),
         others=st.lists(delays, max_size=2),
+        modes=st.lists(st.sampled_from(MODES), min_size=9, max_size=9),
     )
-    def query(self, timeout, tolerated, extra_load, weighs, others):
+    def query(self, timeout, tolerated, extra_load, weighs, others, modes):
         document = Document(
             service=SERVICE,
             tolerated_coverage=tolerated,
@@ -98,6 +99,9 @@
             weighs=weighs,
         )
 
+        for address, mode in zip(ADDRESSES, modes, strict=True):
+            self.world.by_address[address].mode = mode
+
         def ask_one():
             self._ask(document, timeout)
 
@@ -152,14 +156,6 @@
 
         self.world.later(delay, load)
 
-    @rule(chosen=some_addresses, mode=st.sampled_from(MODES), delay=delays)
-    def spoil(self, chosen, mode, delay):
-        def change():
-            for address in chosen:
-                self.world.by_address[address].mode = mode
-
-        self.world.later(delay, change)
-
     @rule(address=addresses, is_up=st.booleans(), delay=delays)
     def lose(self, address, is_up, delay):
         searcher = self.world.by_address[address]
