--- a/tests/snapshots_test.py
+++ b/tests/snapshots_test.py
@@ -18,6 +18,11 @@
 #: Time between the replicas that load an index, in seconds.
 STEP = 0.3
 CALLERS_A_VM = 2
+DOCUMENT = {
+    'service': SERVICE,
+    'tolerated_coverage': 0,
+    'weighs': 'coverage',
+}
 
 
 def snapshot_of(name, instances, addresses):
@@ -134,7 +139,7 @@
         )
         made.publish(
             document_key(SERVICE),
-            json.dumps({'service': SERVICE, 'tolerated_coverage': 0}).encode(),
+            json.dumps(DOCUMENT).encode(),
         )
         publish(made, first)
         callers = Callers(
