Keep half of the budget for what is overdue

Parts that are open after one delay now leave half of the bucket to those open after two, and a replica that is given up again and again is tried ever more seldom.

--- a/basilwall/parts/choice.py
+++ b/basilwall/parts/choice.py
@@ -19,6 +19,8 @@
 #: A bad latency is half forgotten after this time without a sample, so that
 #: a replica which has recovered is tried again, in seconds.
 HALF_LIFE = 3.0
+#: That time doubles with each attempt in a row that was given up, this often.
+MAX_DOUBLINGS = 4
 #: From this many times the lowest latency on a replica counts as slower.
 CLEARLY_SLOWER = 2.0
 #: A replica that starts cold counts as this much slower at first.
@@ -34,12 +36,15 @@
         self._smoothed = INITIAL_LATENCY
         self._sampled_at = clock.monotonic()
         self._cold_since = -math.inf
+        self._given_up = 0
 
     @property
     def seconds(self) -> float:
         """The expected latency, in seconds."""
         now = self._clock.monotonic()
-        faded = 2 ** ((self._sampled_at - now) / HALF_LIFE)
+        doublings = min(self._given_up, MAX_DOUBLINGS)
+        half_life = HALF_LIFE * math.pow(2, doublings)
+        faded = math.pow(2, (self._sampled_at - now) / half_life)
         return self.seen * faded
 
     @property
@@ -51,8 +56,8 @@
 
     def answered(self, latency: float) -> None:
         """Count an attempt that answered after `latency` seconds."""
-        self._sampled_at = self._clock.monotonic()
-        self._smoothed += SMOOTHING * (latency - self._smoothed)
+        self._given_up = 0
+        self._sample(latency)
 
     def unanswered(self, elapsed: float) -> None:
         """Count an attempt that was given up after `elapsed` seconds.
@@ -61,12 +66,17 @@
         is known to be slower.
         """
         if elapsed > self._smoothed:
-            self.answered(elapsed)
+            self._given_up += 1
+            self._sample(elapsed)
 
     def start_cold(self) -> None:
         """Count the replica as one that starts anew."""
         self._cold_since = self._clock.monotonic()
 
+    def _sample(self, latency: float) -> None:
+        self._sampled_at = self._clock.monotonic()
+        self._smoothed += SMOOTHING * (latency - self._smoothed)
+
 
 class Candidate(Protocol):
     """What a replica must show to be compared."""
--- a/basilwall/parts/choice_test.py
+++ b/basilwall/parts/choice_test.py
@@ -82,6 +82,18 @@
     assert 1 <= tried_again_after <= 10
 
 
+def test_a_replica_that_never_answers_is_tried_ever_more_seldom():
+    clock = ManualClock()
+    estimates = [LatencyEstimate(clock) for _ in range(2)]
+    for failures, estimate in zip((1, 4), estimates, strict=True):
+        for _ in range(failures):
+            estimate.unanswered(1)
+    once, often = (estimate.seconds for estimate in estimates)
+    clock.advance(12)
+    assert estimates[0].seconds == once / 4
+    assert estimates[1].seconds > often * 4 / 5
+
+
 def test_the_last_live_replica_of_three_is_found():
     clock = ManualClock()
     live, *frozen = (LatencyEstimate(clock) for _ in range(3))
--- a/basilwall/parts/retry_budget.py
+++ b/basilwall/parts/retry_budget.py
@@ -30,10 +30,15 @@
             earned = self._tokens + self.fraction * attempts
             self._tokens = min(self._capacity, earned)
 
-    def spend(self) -> bool:
-        """Take one token for an extra attempt, or return False."""
+    def spend(self, keeps_reserve: bool = False) -> bool:
+        """Take one token for an extra attempt, or return False.
+
+        Args:
+            keeps_reserve: Leave half of the bucket, for what needs it more.
+        """
+        reserve = self._capacity / 2 if keeps_reserve else 0
         with self._lock:
-            if self._tokens < 1:
+            if self._tokens < 1 + reserve:
                 return False
             self._tokens -= 1
             return True
--- a/basilwall/parts/retry_budget_test.py
+++ b/basilwall/parts/retry_budget_test.py
@@ -25,11 +25,11 @@
         self.tokens = min(self.tokens + Fraction(attempts, 16), Fraction(4))
         self.budget.earn(attempts)
 
-    @rule(wanted=st.integers(1, 20))
-    def spend(self, wanted):
+    @rule(wanted=st.integers(1, 20), keeps=st.booleans())
+    def spend(self, wanted, keeps):
         for _ in range(wanted):
-            allowed = self.tokens >= 1
-            assert self.budget.spend() == allowed
+            allowed = self.tokens >= 1 + 2 * keeps
+            assert self.budget.spend(keeps_reserve=keeps) == allowed
             if allowed:
                 self.tokens -= 1
                 self.extra += 1
--- a/basilwall/query/patience.py
+++ b/basilwall/query/patience.py
@@ -66,10 +66,19 @@
         return max(needed - len(self._answered_at), 1)
 
     def next_hedge_at(self, now: float) -> float:
-        """Return when a part that was hedged may be hedged again."""
-        if self._takes_less:
+        """Return when a part that is late is looked at again."""
+        if self._takes_less and self.is_overdue(now):
             return self._deadline
-        return now + self._delay * DELAYS_OF_A_HEDGE
+        return now + self._delay
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether a part that is open now is far beyond the usual.
+
+        By its definition a twentieth of all attempts are a little late, which
+        is about the whole budget: they leave half of it to these.
+        """
+        overdue_at = self._started + self._delay * DELAYS_OF_A_HEDGE
+        return now >= overdue_at
 
     def note_answer(self, ended_at: float, progress: PartProgress) -> None:
         """Count the answer of a part."""
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -147,10 +147,11 @@
             if progress.hedge_at > now:
                 continue
             progress.hedge_at = self._patience.next_hedge_at(now)
+            keeps = not self._patience.is_overdue(now)
             if self._watch.is_suspect:
                 continue
             untried = len(progress.tried) < len(progress.part.searchers)
-            if untried and self._policy.budget.spend():
+            if untried and self._policy.budget.spend(keeps):
                 self._send(progress)
 
     def _take(self, job: AttemptJob, outcome: AttemptOutcome) -> None:
