Take no measure of time from an answer before the query's start

Ruled out: the canary's own latency as the measure, which is that of one searcher and not of the slowest tolerated. After: basilwall/query/patience_test.py, which failed first, passes.

--- a/basilwall/query/patience.py
+++ b/basilwall/query/patience.py
@@ -85,10 +85,15 @@
         self._answered_at.append(ended_at)
         self._covered += progress.covered
         self._records += progress.size - progress.part.records
-        if self._is_tolerated():
-            after = ended_at - self._started
+        after = ended_at - self._started
+        # An answer from before the start says nothing of the usual time.
+        if after > 0 and self._is_tolerated():
             self._tolerated_after = min(self._tolerated_after, after)
 
+    def note_before(self, progress: PartProgress) -> None:
+        """Count the answer of a part that answered before the start."""
+        self.note_answer(self._started, progress)
+
     def half_wait(self, now: float) -> float:
         """Return how long half of the parts took, in seconds.
 
--- a/basilwall/query/patience_test.py
+++ b/basilwall/query/patience_test.py
@@ -130,3 +130,11 @@
     assert is_congested(refusal, document) == shed
     unknown = Refusal('r', RefusalReason.NO_SNAPSHOT, 1)
     assert not is_congested(unknown, document)
+
+
+def test_the_answer_of_a_single_searcher_before_is_no_measure_of_time():
+    patience = _patience('tail', 0.05, 10)
+    patience.note_before(PartProgress(PART, 0, answer=WHOLE))
+    assert patience.ends_at > DEADLINE / 2
+    patience.note_answer(0.01, PartProgress(PART, 0, answer=WHOLE))
+    assert patience.ends_at < DEADLINE / 10
--- a/basilwall/query/scatter.py
+++ b/basilwall/query/scatter.py
@@ -118,7 +118,7 @@
         for progress in tuple(self._open):
             progress.answer = self._watch.answer_of(progress.part)
             if progress.answer is not None:
-                self._patience.note_answer(self._clock.monotonic(), progress)
+                self._patience.note_before(progress)
             if progress.answer is not None or not self._send(progress):
                 self._end(progress)
             if self._has_stopped:
