Clear a hold of the fuzzed fleet that no send took

An order that needed no dispatch left its hold behind; the next send on the machine's own thread took it and waited for itself until its patience ended.

--- a/basilwall/order/fleet_test.py
+++ b/basilwall/order/fleet_test.py
@@ -204,6 +204,7 @@
         self.searchers.fates = [fate]
         call = self.pool.submit(self._send, vm, order, ticket)
         wait_until(lambda: vm.hold.reached.is_set() or call.done())
+        self.searchers.fates = []
         if call.done():
             call.result()
         else:
