Follow a new cap of connections

Cause: a pool kept the share of connections that it was opened with, so a cap that the platform lowered was not kept, and one that it raised not used. Ruled out: changing the number of tasks of a running pool, which needs a second way to end one; the old pool ends once its work is through. Before: test_a_new_cap_is_followed failed; after: it passes. While the old pool ends, both may be connected for a moment.

--- a/basilwall/backend/pools.py
+++ b/basilwall/backend/pools.py
@@ -52,6 +52,7 @@
             ),
         )
         with self._lock:
+            self._close_of_other_share(named, share)
             for address in named - self.by_address.keys():
                 self._open(address, share)
             self._addresses_by_service[catalogue.service] = named
@@ -123,6 +124,15 @@
             self._retired.discard(address)
             self.by_address.pop(address).close()
 
+    def _close_of_other_share(
+        self,
+        named: Collection[SearcherAddress],
+        share: int,
+    ) -> None:
+        for address in self.by_address.keys() & named:
+            if self.by_address[address].connections != share:
+                self.by_address.pop(address).close()
+
     def _open(self, address: SearcherAddress, share: int) -> None:
         pool = SearcherPool(
             address,
--- a/basilwall/backend/pools_test.py
+++ b/basilwall/backend/pools_test.py
@@ -1,6 +1,7 @@
 """The caps of connections over all VMs, also while all are being replaced."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -53,3 +54,16 @@
         tried.append(pools.pick(part, tried).address)
     assert sorted(tried) == sorted(part.searchers)
     assert pools.pick(part, tried) is None
+
+
+def test_a_new_cap_is_followed():
+    pools, _ = _vm_tasks(SHAPES[0])
+    snapshots = (make_snapshot(SHAPES[0], 20_000, 's1'),)
+    for share in (3, 1, 1):
+        shape = replace(SHAPES[0], connections=share * Limits().fleet)
+        former = set(pools.by_address.values())
+        pools.follow(make_catalogue(shape, snapshots))
+        held = set(pools.by_address.values())
+        assert {pool.connections for pool in held} == {share}
+        unchanged = {pool.connections for pool in former} == {share}
+        assert (held == former) == unchanged
--- a/basilwall/query/fakes_test.py
+++ b/basilwall/query/fakes_test.py
@@ -68,6 +68,7 @@
     world: 'World'
     address: str
     in_flight: int = 0
+    connections: int = 25
     estimate: SimpleNamespace = field(default_factory=_equally_fast)
 
     def __post_init__(self):
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 from bench import (
     data_path,
     exchange,
+    idle,
     policy,
     relays,
     scattering,
@@ -23,6 +24,7 @@
     'overload': partial(policy.overload, name='qasr-al-jamr'),
     'slopes': slopes.run,
     'exchange': exchange.run,
+    'idle': idle.run,
     'scattering': scattering.run,
     'spread': spread.run,
     'relays': relays.run,
--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -111,10 +111,10 @@
         seconds=LOAD_SECONDS,
         timeout_ms=5000,
     )
-    before, spent = _attempts(vm), _processor_seconds(vm.process.pid)
+    before, spent = _attempts(vm), processor_seconds(vm.process.pid)
     report = LoadRun(plan).run()
     attempts = _attempts(vm) - before
-    spent = _processor_seconds(vm.process.pid) - spent
+    spent = processor_seconds(vm.process.pid) - spent
     taken = report.answered
     return [
         Row(
@@ -133,6 +133,7 @@
     )
 
 
-def _processor_seconds(pid: int) -> float:
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has taken so far."""
     fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS
--- a/bench/scattering.py
+++ b/bench/scattering.py
@@ -43,6 +43,7 @@
 
 class _Pool:
     in_flight = 0
+    connections = 25
     is_reachable = True
 
     def __init__(self, address: SearcherAddress, clock: SystemClock) -> None:
