Keep the tickets of one VM within the memory for control

Cause: a ticket record takes 2.1 KB (slopes run at a load average of 4), so the cap of 50,000 records was 105 MB of the 128 MB that control may use. Ruled out for now: a smaller record, which needs another way for copies of an order to wait. The cap is 20,000 now, 42 MB, 166 orders a second on one VM with the default lifetime; beyond it an order is told unknown, as before.

--- a/basilwall/parts/tickets.py
+++ b/basilwall/parts/tickets.py
@@ -27,7 +27,7 @@
 #: Outcomes are kept this long after their ticket expired, in seconds.
 KEEP_AFTER_EXPIRY = 60.0
 #: Records in the table; beyond it no new order begins.
-MAX_RECORDS = 50_000
+MAX_RECORDS = 20_000
 
 
 @dataclass(slots=True)
--- a/basilwall/settings/model.py
+++ b/basilwall/settings/model.py
@@ -25,7 +25,7 @@
 
     requests_in_flight: Annotated[int, Field(ge=1, le=4096)] = 64
     body_bytes: Annotated[int, Field(ge=1, le=16_777_216)] = 1_048_576
-    tickets: Annotated[int, Field(ge=1)] = 50_000
+    tickets: Annotated[int, Field(ge=1)] = 20_000
     quarantine_entries: Annotated[int, Field(ge=1)] = 10_000
     #: The most VMs at once, also while all are being replaced.
     fleet: Annotated[int, Field(ge=1)] = 18
