Ask another searcher when the first ones asked alone are frozen

Cause: a content not seen before is asked of one searcher chosen by its hash, hedged once, whatever was seen of that searcher; with two of three replicas frozen the same frozen ones were asked on every resend. In addition neighbouring parts gave the same replica, which may share a zone, and the budget earned nothing before the content passed. Ruled out: choosing by latency alone, since all VMs must choose the same searcher for a crashing content; unlimited searchers at once, since each could be lost: no more than two run a content at once, the oldest is cancelled.

--- a/basilwall/query/canary.py
+++ b/basilwall/query/canary.py
@@ -38,6 +38,8 @@
 #: Peers are asked why the chosen searcher is gone, and given this time to
 #: answer, in seconds.
 PAUSE_AFTER_REFUSED = 0.02
+#: A searcher slower than this many hedge delays is asked alone last.
+SLOW_DELAYS = 1
 
 
 @dataclass(slots=True)
@@ -101,6 +103,7 @@
             What came of it, at the query's deadline at the latest.
         """
         tried = self.tried
+        self._policy.budget.earn()
         while not (tried.over or tried.passed):
             suspicion = self._suspects.verdict(content, self._query.deadline)
             if suspicion in REFUSED:
@@ -135,8 +138,8 @@
                 self._note_deadline()
                 return
             if event is None:
-                may_hedge = False
-                self._hedge(content)
+                may_hedge = self._hedge(content)
+                hedge_at += self._policy.hedge.delay
             elif self._take(content, *event):
                 return
 
@@ -145,10 +148,17 @@
         self.tried.may_have_run = True
         self.tried.reason = MissingReason.DEADLINE
 
-    def _hedge(self, content: Content) -> None:
+    def _hedge(self, content: Content) -> bool:
+        """Ask one more; False if there is none, or the content is suspect."""
+        if self._suspects.judge(content) is not Suspicion.NONE:
+            return False
         candidate = self._next(content)
-        if candidate is not None and self._policy.budget.spend():
-            self._send(candidate)
+        if candidate is None or not self._policy.budget.spend():
+            return False
+        if len(self._part_by_job) >= MAX_LOST:
+            self._cancel_oldest()
+        self._send(candidate)
+        return True
 
     def _next(self, content: Content) -> Candidate | None:
         lacking = set().union(
@@ -179,6 +189,7 @@
                 self._pools,
                 struck,
                 self.tried.searchers | lacking,
+                self._policy.hedge.delay * SLOW_DELAYS,
             )
             if candidate is not None:
                 return candidate
@@ -231,6 +242,13 @@
             self._suspects.tell()
             time.sleep(self._pause)
 
+    def _cancel_oldest(self) -> None:
+        """Let no more searchers run a content at once than may be lost."""
+        oldest = next(iter(self._part_by_job))
+        self._part_by_job.pop(oldest)
+        self.tried.may_have_run = True
+        oldest.cancel()
+
     def _cancel(self) -> None:
         for job in self._part_by_job:
             job.cancel()
--- /dev/null
+++ b/basilwall/query/canary_hedge_test.py
@@ -0,0 +1,55 @@
+"""A content not seen before, with most replicas frozen."""
+
+import pytest
+
+from basilwall.backend.no_suspects_test import NoSuspects
+from basilwall.document.model import Document
+from basilwall.parts.quarantine import Suspicion
+from basilwall.query.fakes_test import SERVICE, Searcher, World, make_snapshot
+
+ADDRESSES = [f's{number}:1' for number in range(6)]
+FROZEN = ADDRESSES[:4]
+#: Before any hedge, in seconds.
+SOON = 0.02
+DOCUMENT = Document(
+    service=SERVICE,
+    weighs='coverage',
+    deadline_ms=1000,
+    extra_load=0.5,
+)
+
+
+class NothingSeen(NoSuspects):
+    """Knows no content as good, and none as bad."""
+
+    def is_known_good(self, content, snapshot):
+        return False
+
+    def verdict(self, content, deadline):
+        return Suspicion.NONE
+
+
+@pytest.fixture
+def world():
+    made = World({one: Searcher(['s1']) for one in ADDRESSES})
+    made.runner._suspects = NothingSeen()
+    made.publish(make_snapshot('s1', 2, ADDRESSES))
+    for address in FROZEN:
+        made.by_address[address].mode = 'silent'
+    return made
+
+
+@pytest.mark.parametrize('token', 'abcdefgh')
+def test_one_frozen_searcher_after_the_other_is_passed_by(world, token):
+    answer = world.ask(token, DOCUMENT, 2)
+    assert answer.coverage.complete
+
+
+@pytest.mark.parametrize('token', 'abcdefgh')
+def test_a_searcher_seen_to_be_slow_is_not_asked_alone(world, token):
+    for address in FROZEN:
+        for _ in range(9):
+            world.pools.by_address[address].estimate.unanswered(1)
+    asked_at = world.clock.monotonic()
+    assert world.ask(token, DOCUMENT, 2).coverage.complete
+    assert world.clock.monotonic() - asked_at < SOON
--- a/basilwall/query/canary_test.py
+++ b/basilwall/query/canary_test.py
@@ -24,6 +24,7 @@
 from basilwall.backend.suspects import REFUSED, Content, Suspects
 from basilwall.document.model import Document
 from basilwall.parts.attempt_ids import AttemptIds
+from basilwall.parts.choice import LatencyEstimate
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.fingerprints import fingerprint
 from basilwall.parts.quarantine import EXPIRY, Quarantine, Suspicion
@@ -85,6 +86,7 @@
     def __init__(self, world, address):
         self.world = world
         self.address = address
+        self.estimate = LatencyEstimate(world.clock)
 
     @property
     def is_reachable(self):
--- a/basilwall/query/candidates.py
+++ b/basilwall/query/candidates.py
@@ -32,17 +32,18 @@
 
     Yields:
         One searcher of each part, from a part that the hash picks on, then
-        the next replica of each.
+        the next replica of each. Neighbouring parts give different replicas,
+        since replicas in the same place may share a zone.
     """
     number = int(mark, _HEX)
     start = number % max(len(parts), 1)
     turned = (*parts[start:], *parts[:start])
     deepest = max((len(part.searchers) for part in parts), default=0)
     for turn in range(deepest):
-        for part in turned:
+        for offset, part in enumerate(turned):
             count = len(part.searchers)
             if turn < count:
-                place = (number // len(parts) + turn) % count
+                place = (number // len(parts) + turn + offset) % count
                 yield part, part.searchers[place]
 
 
@@ -52,6 +53,7 @@
     pools: SearcherPools,
     struck: Collection[SearcherAddress],
     tried: Collection[SearcherAddress],
+    slow_from: float,
 ) -> Candidate | None:
     """Return the searcher to ask next, or None if all were asked.
 
@@ -61,9 +63,11 @@
         pools: The connections to their searchers.
         struck: Searchers lost under the content; taken if no other is left.
         tried: Searchers that this request was sent to.
+        slow_from: Searchers expected to take longer than this, in seconds,
+            are passed over while there is another.
 
     Returns:
-        A searcher that is not leaving, reachable ones first.
+        A searcher that is not leaving; reachable, quick ones first.
     """
     usable = (
         Candidate(part, pool)
@@ -74,7 +78,8 @@
     fallbacks: list[Candidate] = []
     for candidate in usable:
         is_struck = candidate.pool.address in struck
-        if candidate.pool.is_reachable and not is_struck:
+        is_slow = candidate.pool.estimate.seconds > slow_from
+        if candidate.pool.is_reachable and not (is_struck or is_slow):
             return candidate
         fallbacks.append(candidate)
     unstruck = (one for one in fallbacks if one.pool.address not in struck)
