--- a/basilwall/standin/http_server.py
+++ b/basilwall/standin/http_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import socketserver
+import threading
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler
 from typing import Any
@@ -9,6 +10,7 @@
 import msgspec
 
 BACKLOG = 512
+POLL_SECONDS = 0.05
 
 
 class StandInHandler(BaseHTTPRequestHandler):
@@ -54,6 +56,20 @@
         super().__init__(address, handler)
         self.connections: set[socket.socket] = set()
 
+    def start(self) -> None:
+        """Serve on a thread of its own."""
+        threading.Thread(
+            target=self.serve_forever,
+            kwargs={'poll_interval': POLL_SECONDS},
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        self.shutdown()
+        self.server_close()
+        self.cut_connections()
+
     def process_request(self, request: Any, client_address: Any) -> None:
         """Note the connection and serve it on a thread."""
         self.connections.add(request)
--- a/basilwall/standin/platform.py
+++ b/basilwall/standin/platform.py
@@ -53,19 +53,13 @@
             platform = stand_in
 
         self._server = StandInServer(split_address(self.address), Handler)
-        threading.Thread(
-            target=self._server.serve_forever,
-            kwargs={'poll_interval': 0.05},
-            daemon=True,
-        ).start()
+        self._server.start()
 
     def stop(self) -> None:
         """Stop listening and cut all connections."""
         server, self._server = self._server, None
         if server is not None:
-            server.shutdown()
-            server.server_close()
-            server.cut_connections()
+            server.stop()
 
     def publish(self, key: str, body: bytes) -> int:
         """Publish a value and return its revision."""
--- a/basilwall/standin/searcher.py
+++ b/basilwall/standin/searcher.py
@@ -109,19 +109,13 @@
 
         server = StandInServer(split_address(self.address), Handler)
         self._server = server
-        threading.Thread(
-            target=server.serve_forever,
-            kwargs={'poll_interval': 0.05},
-            daemon=True,
-        ).start()
+        server.start()
 
     def stop(self) -> None:
         """Stop listening and cut all connections."""
         server, self._server = self._server, None
         if server is not None:
-            server.shutdown()
-            server.server_close()
-            server.cut_connections()
+            server.stop()
 
     def crash(self) -> None:
         """Die now and come back after `restart_ms`."""
