Ask again after a shed only within the budget, also when asked alone

Cause: a content not seen before that a searcher sheds was asked of the next one, and the next, without a token: under overload every refused query cost extra attempts where they hurt most. Ruled out: the new hedges of the canary as the cause; in a test in which every searcher sheds at once, so that none is hedged, 30 queries with no budget made 180 attempts.

--- a/basilwall/query/canary.py
+++ b/basilwall/query/canary.py
@@ -235,6 +235,8 @@
         self.tried.reason = rule.missing
         self.tried.lost += outcome.tag is OutcomeTag.LOST
         self.tried.over |= not rule.again or self.tried.lost >= MAX_LOST
+        if outcome.tag is OutcomeTag.SHED and not self._part_by_job:
+            self.tried.over |= not self._policy.budget.spend()
         if outcome.tag is OutcomeTag.WRONG_SNAPSHOT:
             self.tried.stopped_for = self._better_snapshot()
             self.tried.over |= self.tried.stopped_for is not None
--- a/basilwall/query/canary_hedge_test.py
+++ b/basilwall/query/canary_hedge_test.py
@@ -5,12 +5,15 @@
 from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.document.model import Document
 from basilwall.parts.quarantine import Suspicion
+from basilwall.parts.retry_budget import DEFAULT_CAPACITY
 from basilwall.query.fakes_test import SERVICE, Searcher, World, make_snapshot
+from basilwall.records.answer import QueryAnswer
 
 ADDRESSES = [f's{number}:1' for number in range(6)]
 FROZEN = ADDRESSES[:4]
 #: Before any hedge, in seconds.
 SOON = 0.02
+QUERIES = 30
 DOCUMENT = Document(
     service=SERVICE,
     weighs='coverage',
@@ -53,3 +56,12 @@
     asked_at = world.clock.monotonic()
     assert world.ask(token, DOCUMENT, 2).coverage.complete
     assert world.clock.monotonic() - asked_at < SOON
+
+
+def test_searchers_that_shed_are_asked_again_within_the_budget(world):
+    for searcher in world.by_address.values():
+        searcher.mode = 'shed'
+    document = DOCUMENT.model_copy(update={'extra_load': 0})
+    for number in range(QUERIES):
+        assert not isinstance(world.ask(str(number), document, 2), QueryAnswer)
+    assert len(world.attempt_ids) <= QUERIES + DEFAULT_CAPACITY
