--- a/basilwall/backend/bystanders.py
+++ b/basilwall/backend/bystanders.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Collection
 
 from basilwall.backend.probe import find_dead
+from basilwall.configuration.state import PlatformState
 from basilwall.parts.clock import Clock
-from basilwall.platform.state import PlatformState
 from basilwall.records.ids import SearcherAddress, ServiceName
 from basilwall.records.strike import Evidence
 
--- a/basilwall/caller/service.py
+++ b/basilwall/caller/service.py
@@ -18,12 +18,12 @@
     order_reply,
     refusal_reply,
 )
+from basilwall.configuration.state import PlatformState
 from basilwall.document.model import Document
 from basilwall.operators.metrics import Metrics
 from basilwall.operators.status import StatusReport
 from basilwall.order.desk import OrderDesk, OrderRequest
 from basilwall.parts.clock import Clock
-from basilwall.platform.state import PlatformState
 from basilwall.query.congestion import is_congested
 from basilwall.query.progress import Query
 from basilwall.query.runner import QueryRunner
--- a/basilwall/platform/client.py
+++ b/basilwall/configuration/client.py
@@ -5,7 +5,7 @@
 """
 
 import http.client
-from typing import Protocol
+from abc import ABC, abstractmethod
 
 import msgspec
 
@@ -23,15 +23,21 @@
 
 
 class WatchReply(msgspec.Struct, frozen=True):
-    """All values above the revision asked for."""
+    """All values above the revision asked for.
+
+    `is_whole` says that these are all values there are: keys that are not
+    among them have been removed.
+    """
 
     revision: int
     values: tuple[PublishedValue, ...]
+    is_whole: bool = False
 
 
-class PlatformReader(Protocol):
+class PlatformReader(ABC):
     """What the watch task needs from the platform."""
 
+    @abstractmethod
     def watch(self, after: int) -> WatchReply:
         """Wait for values with a revision above `after`."""
 
@@ -39,7 +45,7 @@
 _decoder = msgspec.json.Decoder(WatchReply)
 
 
-class HttpPlatform:
+class HttpPlatform(PlatformReader):
     """A reader of the configuration service at one address."""
 
     def __init__(self, address: str, prefix: str) -> None:
--- a/basilwall/platform/settling.py
+++ b/basilwall/configuration/settling.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Sequence
 
-from basilwall.platform.state import PlatformState
+from basilwall.configuration.state import PlatformState
 
 #: Time between two looks, in seconds.
 LOOK_EVERY = 0.05
--- a/basilwall/platform/state_test.py
+++ b/basilwall/configuration/state_test.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from basilwall.configuration.state import PlatformState
 from basilwall.document.keys import FLEET, catalogue_key, document_key
-from basilwall.platform.state import PlatformState
 from basilwall.records.catalogue import PublishedValue
 
 DOCUMENT = document_key('one')
--- a/basilwall/platform/watching.py
+++ b/basilwall/configuration/watching.py
@@ -12,9 +12,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from basilwall.configuration.client import (
+    PlatformError,
+    PlatformReader,
+    WatchReply,
+)
 from basilwall.parts.clock import Clock
 from basilwall.parts.revisions import RevisionRegister
-from basilwall.platform.client import PlatformError, PlatformReader, WatchReply
+from basilwall.records.catalogue import PublishedValue
 
 #: Pause after a failed watch, doubled up to the highest, in seconds.
 FIRST_PAUSE = 0.2
@@ -41,6 +46,8 @@
     failures: int = 0
     calls: int = 0
     revision: int = 0
+    #: When a read succeeded after a failed one, in monotonic seconds.
+    returned_at: float = float('-inf')
     first_read: threading.Event = field(default_factory=threading.Event)
 
 
@@ -63,7 +70,9 @@
         source: random.Random,
         is_reader: Callable[[], bool] = _always,
         note_read: Callable[[float], None] = _tell_nobody,
+        least_gap: float = LEAST_GAP,
     ) -> None:
+        self._least_gap = least_gap
         self._reader = reader
         self._register = register
         self._clock = clock
@@ -98,6 +107,11 @@
             _log.warning('platform not read', extra={'error': str(error)})
             return False
         self._take(reply)
+        if health.failures:
+            health.returned_at = self._clock.monotonic()
+            _log.info(
+                'platform read again', extra={'failures': health.failures}
+            )
         health.failures = 0
         health.last_read_at = self._clock.monotonic()
         health.first_read.set()
@@ -110,7 +124,7 @@
         stopping: threading.Event,
     ) -> float:
         if self.read():
-            stopping.wait(LEAST_GAP)
+            stopping.wait(self._least_gap)
             return FIRST_PAUSE
         jitter = self._source.uniform(LEAST_JITTER, MOST_JITTER)
         stopping.wait(pause * jitter)
@@ -119,11 +133,19 @@
     def _take(self, reply: WatchReply) -> None:
         for published in reply.values:
             self._register.offer(published)
+        if reply.is_whole:
+            self._remove_unlisted(reply)
         # The cursor follows its reader, also down after a restart of it: what
         # it says again is not new to the register.
         self._after = max(reply.revision, 0)
         self.health.revision = self._after
 
+    def _remove_unlisted(self, reply: WatchReply) -> None:
+        listed = {published.key for published in reply.values}
+        for key in self._register.digest().keys() - listed:
+            removed = PublishedValue(key, reply.revision, b'')
+            self._register.offer(removed)
+
 
 def whole_health(watches: list[PlatformWatch]) -> PlatformHealth:
     """Return the health of all addresses together, the best of each."""
--- a/basilwall/platform/watching_test.py
+++ b/basilwall/configuration/watching_test.py
@@ -4,14 +4,14 @@
 import threading
 import time
 
+from basilwall.configuration.client import PlatformError, WatchReply
+from basilwall.configuration.readers import READERS_A_ZONE, is_chosen
+from basilwall.configuration.settling import settle
+from basilwall.configuration.state import PlatformState
+from basilwall.configuration.watching import PlatformWatch, whole_health
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.membership import Member
 from basilwall.parts.revisions import RevisionRegister
-from basilwall.platform.client import PlatformError, WatchReply
-from basilwall.platform.readers import READERS_A_ZONE, is_chosen
-from basilwall.platform.settling import settle
-from basilwall.platform.state import PlatformState
-from basilwall.platform.watching import PlatformWatch, whole_health
 from basilwall.records.catalogue import FleetList, FleetVm, PublishedValue
 
 
--- /dev/null
+++ b/basilwall/entry.py
@@ -0,0 +1,233 @@
+"""The composition root of an entry VM on the users' platform.
+
+Every part is made here and nowhere else, and each is handed what it needs.
+It imports only what this program runs with: memory is dear on these VMs.
+"""
+
+import gc
+import logging
+import random
+import signal
+import sys
+import threading
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from functools import partial
+
+from basilwall.configuration.watching import PlatformWatch
+from basilwall.forwarding.forwarder import Forwarder
+from basilwall.forwarding.leftovers import Leftovers
+from basilwall.forwarding.policy import Policy
+from basilwall.forwarding.pools import Pools
+from basilwall.forwarding.run import Senders
+from basilwall.ingress.readiness import page_server
+from basilwall.ingress.server import Ingress, StopState, ingress_server
+from basilwall.operators.log_queue import logging_to_stdout
+from basilwall.parts.clock import BootClock, Clock
+from basilwall.parts.revisions import RevisionRegister
+from basilwall.parts.tasks import TaskGroup, task_group
+from basilwall.platform.codec import HeaderCodec, StoreValues
+from basilwall.platform.node import NodeFileError, read_node_file, settings_path
+from basilwall.platform.store import HttpStore
+from basilwall.records.routes import CallerLimits
+from basilwall.routing.deployment import LAPSE, Deployment
+from basilwall.routing.place import RoundTrips
+from basilwall.settings.entry import EntrySettings
+
+#: Time between two watches that returned changes, in seconds: changes come in
+#: groups, and each call to the store is paid for.
+STORE_GAP = 0.3
+#: VMs assumed to share the caps and the budget until others were heard.
+ASSUMED_FLEET = 10
+#: Memory of one caller's connection at its worst, in MB.
+CONNECTION_MB = 0.3
+#: Descriptors kept for anything but connections.
+SPARE_DESCRIPTORS = 400
+STACK_BYTES = 262_144
+SWITCH_SECONDS = 0.0005
+HOUSEKEEPING_SECONDS = 0.5
+#: The balancer notices within this time that a VM is not ready, in seconds.
+BALANCER_LAG = 3.0
+#: Time kept at the end of a stop for the last answers, in seconds.
+LAST_ANSWERS = 0.8
+#: Time between two looks at what is still open, in seconds.
+STOP_STEP = 0.05
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class EntryVm:
+    """One running entry VM and its planned stop."""
+
+    settings: EntrySettings
+    deployment: Deployment
+    ingress: Ingress
+    clock: Clock
+
+    def stop(self) -> bool:
+        """Stop by plan: leave the balancer, then finish what was begun.
+
+        Returns:
+            False if a connection was cut off at the limit.
+        """
+        began_at = self.clock.monotonic()
+        limit = self.settings.bounds.stop_limit - LAST_ANSWERS
+        state = self.ingress.stop
+        state.is_stopping = True
+        _log.info('stopping', extra={'connections': self._open()})
+        self._wait(began_at + min(BALANCER_LAG, limit / 2))
+        state.closes_idle = True
+        self._wait(began_at + limit, until_idle=True)
+        _log.info('stopped', extra={'cut_off': self._open()})
+        return not self._open()
+
+    def _open(self) -> int:
+        return len(self.ingress.connections)
+
+    def _wait(self, end: float, *, until_idle: bool = False) -> None:
+        pause = threading.Event()
+        while self.clock.monotonic() < end:
+            if until_idle and not self._open():
+                return
+            pause.wait(STOP_STEP)
+
+
+@contextmanager
+def running_entry(settings: EntrySettings) -> Iterator[EntryVm]:
+    """Run an entry VM for the length of a block.
+
+    Args:
+        settings: What the platform says of this VM.
+
+    Yields:
+        The running VM.
+
+    Raises:
+        OSError: If an address can't be bound.
+    """
+    clock, source = BootClock(), random.Random()
+    deployment = Deployment(StoreValues(), clock)
+    register = RevisionRegister(deployment.accept)
+    watch = PlatformWatch(
+        HttpStore(settings.store_address),
+        register,
+        clock,
+        source,
+        least_gap=STORE_GAP,
+    )
+    deployment.doubt = partial(_doubt, watch, clock)
+    with ExitStack() as stack:
+        tasks = stack.enter_context(task_group('task'))
+        ingress = _ingress(settings, deployment, clock, source, tasks)
+        tasks.start(partial(watch.run, tasks.stopping))
+        ready = partial(_readiness, deployment, ingress.stop)
+        stack.enter_context(page_server(settings.readiness_address, ready))
+        stack.enter_context(
+            ingress_server(ingress, settings.caller_address, tasks),
+        )
+        stack.callback(tasks.stopping.set)
+        yield EntryVm(settings, deployment, ingress, clock)
+
+
+def main() -> None:
+    """Run the entry VM of this process until SIGTERM."""
+    stopping = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    signal.signal(signal.SIGINT, lambda *_: stopping.set())
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    threading.stack_size(STACK_BYTES)
+    sys.setswitchinterval(SWITCH_SECONDS)
+    with logging_to_stdout('INFO'):
+        try:
+            settings = read_node_file(settings_path())
+            _serve(settings, stopping)
+        except (NodeFileError, OSError) as error:
+            _log.critical('not started', extra={'error': str(error)})
+            sys.exit(1)
+
+
+def _serve(settings: EntrySettings, stopping: threading.Event) -> None:
+    with running_entry(settings) as vm:
+        gc.freeze()
+        _log.info('started', extra={'vm': settings.name})
+        stopping.wait()
+        vm.stop()
+
+
+def _ingress(
+    settings: EntrySettings,
+    deployment: Deployment,
+    clock: Clock,
+    source: random.Random,
+    tasks: TaskGroup,
+) -> Ingress:
+    codec = HeaderCodec()
+    pools = Pools(
+        deployment,
+        RoundTrips(settings.place),
+        clock,
+        _fleet_size,
+        source,
+    )
+    deployment.subscribe(pools.follow)
+    leftovers = Leftovers(pools, clock)
+    senders = Senders(
+        deployment,
+        pools,
+        Policy(settings.bounds, _fleet_size),
+        leftovers,
+        codec,
+        clock,
+    )
+    tasks.start(partial(leftovers.run, tasks.stopping))
+    tasks.start(partial(_keep_house, pools, tasks.stopping))
+    return Ingress(
+        Forwarder(senders, source),
+        codec,
+        partial(_limits, deployment),
+        clock,
+        _max_connections(settings),
+    )
+
+
+def _fleet_size() -> int:
+    return ASSUMED_FLEET
+
+
+def _max_connections(settings: EntrySettings) -> int:
+    by_memory = int(settings.memory_mb / 2 / CONNECTION_MB)
+    by_descriptors = (settings.descriptors - SPARE_DESCRIPTORS) // 2
+    return max(min(by_memory, by_descriptors), 1)
+
+
+def _limits(deployment: Deployment) -> CallerLimits:
+    table = deployment.table
+    return table.limits if table else CallerLimits()
+
+
+def _readiness(deployment: Deployment, stop: StopState) -> tuple[int, str]:
+    if stop.is_stopping:
+        return HTTP_UNAVAILABLE, 'stopping\n'
+    if deployment.table is None:
+        return HTTP_UNAVAILABLE, 'no route table yet\n'
+    return HTTP_OK, 'ready\n'
+
+
+def _doubt(watch: PlatformWatch, clock: Clock) -> float:
+    """Return until when removals are in doubt, in monotonic seconds."""
+    if watch.health.failures:
+        return clock.monotonic() + LAPSE
+    return watch.health.returned_at + LAPSE
+
+
+def _keep_house(pools: Pools, stopping: threading.Event) -> None:
+    while not stopping.wait(HOUSEKEEPING_SECONDS):
+        pools.close_idle()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/basilwall/forwarding/codec.py
@@ -0,0 +1,41 @@
+"""What forwarding needs to know of the wire, met by an adapter."""
+
+from abc import ABC, abstractmethod
+
+import h11
+
+from basilwall.records.forwarding import Call, Reply
+from basilwall.records.ids import SearcherId
+
+
+class AttemptCodec(ABC):
+    """Writes the heads of attempts and reads the replies to them."""
+
+    @abstractmethod
+    def attempt(
+        self,
+        call: Call,
+        searcher: SearcherId,
+        time_left: float,
+    ) -> h11.Request:
+        """Return the head of one attempt; `time_left` is in seconds."""
+
+    @abstractmethod
+    def belongs(self, call: Call, response: h11.Response) -> bool:
+        """Return whether a reply is one to this request."""
+
+    @abstractmethod
+    def reply(
+        self,
+        searcher: SearcherId,
+        response: h11.Response,
+        body: bytes,
+    ) -> Reply:
+        """Read the whole reply of a searcher."""
+
+    @abstractmethod
+    def idle_limit(self, response: h11.Response) -> float | None:
+        """Return how long the searcher keeps an idle connection, in seconds.
+
+        None if the searcher does not say.
+        """
--- /dev/null
+++ b/basilwall/forwarding/exchange.py
@@ -0,0 +1,148 @@
+"""One attempt on one connection to a searcher.
+
+A connection carries one attempt at a time, and it is kept only if the reply
+was read to its end with nothing after it.
+"""
+
+from enum import Enum
+from functools import partial
+
+import h11
+
+from basilwall.forwarding.codec import AttemptCodec
+from basilwall.forwarding.connection import SearcherConnection
+from basilwall.forwarding.reply_reader import ReplyReader, WholeReply
+from basilwall.parts.clock import Clock
+from basilwall.records.forwarding import (
+    AttemptResult,
+    Call,
+    LossReason,
+    Lost,
+    Unsent,
+)
+from basilwall.records.ids import SearcherId
+
+READ_BYTES = 65_536
+
+
+class Stage(Enum):
+    """How far an attempt has come on its connection."""
+
+    CONNECTING = 'connecting'
+    SENDING = 'sending'
+    READING = 'reading'
+
+
+class Exchange:
+    """One attempt on one connection.
+
+    `advance` is called whenever the socket is ready; it returns the result
+    once there is one and never blocks.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        connection: SearcherConnection,
+        codec: AttemptCodec,
+        clock: Clock,
+        deadline: float,
+    ) -> None:
+        self.call = call
+        self.connection = connection
+        self.sent_at = clock.monotonic()
+        self.is_sent = False
+        self.can_keep = False
+        self.stage = Stage.CONNECTING
+        self._codec = codec
+        self._clock = clock
+        self._deadline = deadline
+        self._unsent = memoryview(b'')
+        self._is_cut = False
+        self._reader: ReplyReader | None = None
+        if connection.is_connected:
+            self._begin()
+
+    @property
+    def searcher(self) -> SearcherId:
+        """The searcher that the attempt is for."""
+        return self.connection.searcher.searcher_id
+
+    @property
+    def wants_write(self) -> bool:
+        """True while the socket is waited for to take bytes."""
+        return self.stage is not Stage.READING
+
+    def advance(self) -> AttemptResult | None:
+        """Go on as far as the socket allows.
+
+        Returns:
+            The result of the attempt, None while it goes on.
+        """
+        try:
+            return self._advance()
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            return self._failed(LossReason.CUT, str(error))
+        except h11.RemoteProtocolError as error:
+            return self._failed(LossReason.SPOILED, str(error))
+
+    def give_up(self, reason: LossReason) -> AttemptResult:
+        """End the attempt; its connection can't be kept."""
+        return self._failed(reason, 'given up')
+
+    def _advance(self) -> AttemptResult | None:
+        if self.stage is Stage.CONNECTING:
+            self.connection.finish_connecting()
+            self._begin()
+        if self.stage is Stage.SENDING:
+            self._send()
+        return self._read()
+
+    def _failed(self, reason: LossReason, detail: str) -> AttemptResult:
+        self.can_keep = False
+        if self.is_sent:
+            return Lost(self.searcher, reason, detail)
+        if self.stage is Stage.CONNECTING:
+            reason = LossReason.NOT_CONNECTED
+        return Unsent(self.searcher, reason, detail)
+
+    def _begin(self) -> None:
+        self.sent_at = self._clock.monotonic()
+        left = self._deadline - self.sent_at
+        self._reader = ReplyReader(
+            self._codec.attempt(self.call, self.searcher, left),
+            self.call.body,
+            partial(self._codec.belongs, self.call),
+        )
+        self._unsent = memoryview(self._reader.request)
+        self.stage = Stage.SENDING
+
+    def _send(self) -> None:
+        """Send what the socket takes; a reply may come before it took all."""
+        self.is_sent = True
+        try:
+            while self._unsent:
+                taken = self.connection.socket.send(self._unsent)
+                self._unsent = self._unsent[taken:]
+        except BlockingIOError:
+            return
+        except OSError:
+            # A searcher that replies early may close: the reply still counts.
+            self._is_cut = True
+        self.stage = Stage.READING
+
+    def _read(self) -> AttemptResult | None:
+        reader = self._reader
+        while reader is not None:
+            whole = reader.feed(self.connection.socket.recv(READ_BYTES))
+            if whole is not None:
+                return self._finish(whole)
+        return None
+
+    def _finish(self, whole: WholeReply) -> AttemptResult:
+        is_whole = not (self._unsent or self._is_cut)
+        self.can_keep = whole.is_clean and is_whole
+        self.connection.used(self._codec.idle_limit(whole.head))
+        return self._codec.reply(self.searcher, whole.head, whole.body)
--- /dev/null
+++ b/basilwall/forwarding/leg.py
@@ -0,0 +1,39 @@
+"""One service that a request asks, and how far that has come."""
+
+from dataclasses import dataclass, field
+
+from basilwall.forwarding.exchange import Exchange
+from basilwall.records.forwarding import AttemptResult, Reply, Unsent
+from basilwall.records.ids import SearcherId, ServiceName
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    """The attempts at one service; times are in monotonic seconds.
+
+    `sent_to` are the searchers that the request reached or may have reached,
+    `passed_over` those that nothing was sent to.
+    """
+
+    service: ServiceName
+    hedge_at: float
+    number_by_exchange: dict[Exchange, int] = field(default_factory=dict)
+    sent_to: set[SearcherId] = field(default_factory=set)
+    passed_over: set[SearcherId] = field(default_factory=set)
+    success: Reply | None = None
+    failure: AttemptResult | None = None
+    may_have_run: bool = False
+    has_ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """True while a success can still come."""
+        return not self.has_ended
+
+    def note_failure(self, outcome: AttemptResult) -> None:
+        """Keep the failure that tells the caller most: a whole reply."""
+        if not isinstance(self.failure, Reply) or isinstance(outcome, Reply):
+            self.failure = outcome
+        if isinstance(outcome, Unsent):
+            self.sent_to.discard(outcome.searcher)
+            self.passed_over.add(outcome.searcher)
--- /dev/null
+++ b/basilwall/forwarding/policy.py
@@ -0,0 +1,76 @@
+"""What requests of one route or service share: hedge delays and budgets.
+
+They answer searchers that pause or break: a request that met one is sent to
+another searcher, early enough to be in time, and never so often that searchers
+which are slow together are pressed further.
+"""
+
+import threading
+from collections.abc import Callable
+
+from basilwall.parts.hedge import HedgeDelay
+from basilwall.parts.retry_budget import RetryBudget
+from basilwall.records.ids import RouteName, ServiceName
+from basilwall.records.routes import Route
+from basilwall.routing.bounds import Bounds
+
+#: An attempt that takes longer than these shares of all others is late.
+SHARD_QUANTILE = 0.93
+SINGLE_QUANTILE = 0.97
+#: Latest time to hedge, as parts of the time that the route aims at.
+SHARD_CEILING = 0.28
+SINGLE_CEILING = 0.6
+#: Part of the fleet's ratio and slack that is used, for requests that several
+#: VMs count in different windows.
+USED_OF_BUDGET = 0.9
+#: Entries kept of routes and services; beyond that all are dropped.
+MAX_ENTRIES = 4096
+
+
+class Policy:
+    """Hedge delays by route and budgets by service."""
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        fleet_size: Callable[[], int],
+    ) -> None:
+        self._bounds = bounds
+        self._fleet_size = fleet_size
+        self._hedge_by_route: dict[RouteName, HedgeDelay] = {}
+        self._budget_by_service: dict[ServiceName, RetryBudget] = {}
+        self._lock = threading.Lock()
+
+    def hedge(self, route: Route) -> HedgeDelay:
+        """Return the delay after which an attempt of a route is late."""
+        with self._lock:
+            found = self._hedge_by_route.get(route.name)
+            if found is None:
+                if len(self._hedge_by_route) >= MAX_ENTRIES:
+                    self._hedge_by_route.clear()
+                found = _new_hedge(route)
+                self._hedge_by_route[route.name] = found
+        return found
+
+    def budget(self, service: ServiceName) -> RetryBudget:
+        """Return this VM's share of the budget of a service."""
+        with self._lock:
+            found = self._budget_by_service.get(service)
+            if found is None:
+                if len(self._budget_by_service) >= MAX_ENTRIES:
+                    self._budget_by_service.clear()
+                found = self._new_budget()
+                self._budget_by_service[service] = found
+        return found
+
+    def _new_budget(self) -> RetryBudget:
+        bounds = self._bounds
+        slack = bounds.extra_slack * USED_OF_BUDGET / self._fleet_size()
+        return RetryBudget(bounds.extra_ratio * USED_OF_BUDGET, slack)
+
+
+def _new_hedge(route: Route) -> HedgeDelay:
+    if route.scattering is None:
+        latest = route.target_latency * SINGLE_CEILING
+        return HedgeDelay(SINGLE_QUANTILE, latest)
+    return HedgeDelay(SHARD_QUANTILE, route.target_latency * SHARD_CEILING)
--- /dev/null
+++ b/basilwall/forwarding/rules_test.py
@@ -0,0 +1,65 @@
+"""What each result allows: above all, what may run again."""
+
+import itertools
+
+import pytest
+
+from basilwall.forwarding.rules import Blame, Kind, kind_of, rule_of
+from basilwall.records.forwarding import LossReason, Lost, Reply, Unsent
+from basilwall.records.routes import Repeat
+
+
+def reply(status, has_run=True, digest=b'd'):
+    return Reply('i', status, b'', (), b'', digest, has_run, False)
+
+
+SHED = reply(503, has_run=False)
+LOST = Lost('i', LossReason.CUT)
+UNSENT = Unsent('i', LossReason.NOT_CONNECTED)
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'kind'),
+    [
+        (reply(200), Kind.SUCCESS),
+        (reply(200, digest=b''), Kind.FAILED),
+        (reply(302), Kind.FAILED),
+        (reply(404), Kind.REJECTED),
+        (reply(500), Kind.FAILED),
+        (reply(503), Kind.FAILED),
+        (SHED, Kind.REFUSED),
+        (LOST, Kind.LOST),
+        (UNSENT, Kind.UNSENT),
+    ],
+)
+def test_kinds(outcome, kind):
+    assert kind_of(outcome) is kind
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [reply(status) for status in (200, 302, 404, 500, 503)] + [LOST],
+)
+def test_what_may_have_run_at_most_once_is_never_sent_again(outcome):
+    rule = rule_of(Repeat.AT_MOST_ONCE, outcome)
+    assert rule.may_have_run
+    assert not rule.may_repeat
+
+
+@pytest.mark.parametrize('outcome', [SHED, UNSENT])
+def test_what_did_not_run_may_be_sent_again(outcome):
+    for repeat in Repeat:
+        rule = rule_of(repeat, outcome)
+        assert rule.may_repeat
+        assert not rule.may_have_run
+
+
+def test_only_what_reached_no_searcher_is_free():
+    outcomes = [reply(200), reply(500), SHED, LOST, UNSENT]
+    for repeat, outcome in itertools.product(Repeat, outcomes):
+        assert rule_of(repeat, outcome).is_free == (outcome is UNSENT)
+
+
+def test_a_searcher_is_blamed_for_breaking_off_and_not_for_a_bad_request():
+    assert rule_of(Repeat.IDEMPOTENT, LOST).blame is Blame.FAULTY
+    assert rule_of(Repeat.IDEMPOTENT, reply(404)).blame is Blame.NONE
--- /dev/null
+++ b/basilwall/ingress/server.py
@@ -0,0 +1,213 @@
+"""Listens for callers and serves each connection with a task of its own."""
+
+import logging
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from functools import partial
+
+import h11
+
+from basilwall.forwarding.forwarder import Forwarder
+from basilwall.ingress.codec import CallerCodec
+from basilwall.ingress.reading import (
+    BadRequest,
+    CallerGoneError,
+    RequestReader,
+    WholeRequest,
+)
+from basilwall.parts.clock import Clock
+from basilwall.parts.tasks import TaskGroup
+from basilwall.records.forwarding import Answer, Call, Verdict
+from basilwall.records.routes import CallerLimits
+
+BACKLOG = 1024
+#: Time between two looks at whether to stop listening, in seconds.
+ACCEPT_WAIT = 0.5
+#: A caller that does not take its answer is cut off after this, in seconds.
+WRITE_TIMEOUT = 10.0
+#: What a caller still sends after its last answer is read for this long.
+LINGER = 1.0
+LINGER_BYTES = 16_777_216
+READ_BYTES = 65_536
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class StopState:
+    """How far a planned stop has come."""
+
+    #: Answers are the last ones of their connections.
+    is_stopping: bool = False
+    #: Connections with no request are closed.
+    closes_idle: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Ingress:
+    """What serves every caller's connection."""
+
+    forwarder: Forwarder
+    codec: CallerCodec
+    limits: Callable[[], CallerLimits]
+    clock: Clock
+    max_connections: int
+    stop: StopState = field(default_factory=StopState)
+    connections: set[socket.socket] = field(default_factory=set)
+
+    def serve(self, caller: socket.socket) -> None:
+        """Serve one connection until it ends."""
+        try:
+            self._serve_requests(caller)
+        except CallerGoneError:
+            _log.debug('caller gone')
+        except OSError as error:
+            _log.info('caller cut off', extra={'error': str(error)})
+        finally:
+            self.connections.discard(caller)
+            _close(caller)
+
+    def _serve_requests(self, caller: socket.socket) -> None:
+        caller.settimeout(WRITE_TIMEOUT)
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        reader = RequestReader(
+            caller,
+            self.limits,
+            self.clock,
+            lambda: self.stop.closes_idle,
+        )
+        while True:
+            request = reader.next_request()
+            if isinstance(request, BadRequest):
+                self._reject(caller, reader.http, request)
+                return
+            if not self._serve_request(caller, reader.http, request):
+                return
+
+    def _serve_request(
+        self,
+        caller: socket.socket,
+        http: h11.Connection,
+        request: WholeRequest,
+    ) -> bool:
+        """Answer one request; False if it was the connection's last."""
+        call = self.codec.call(request.head, request.body, request.head_at)
+        answer = self.forwarder.serve(call, caller)
+        if answer.verdict is Verdict.CALLER_LEFT:
+            return False
+        keeps = not self.stop.is_stopping
+        caller.sendall(self._encode(http, call, answer, keeps=keeps))
+        return keeps and http.our_state is h11.DONE
+
+    def _reject(
+        self,
+        caller: socket.socket,
+        http: h11.Connection,
+        request: BadRequest,
+    ) -> None:
+        _log.info(
+            'request rejected',
+            extra={'status': request.status, 'detail': request.detail},
+        )
+        if http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            answer = Answer(Verdict.MALFORMED, request.status)
+            caller.sendall(self._encode(http, None, answer, keeps=False))
+
+    def _encode(
+        self,
+        http: h11.Connection,
+        call: Call | None,
+        answer: Answer,
+        *,
+        keeps: bool,
+    ) -> bytes:
+        headers = self.codec.headers(call, answer)
+        headers.append((b'Content-Length', str(len(answer.body)).encode()))
+        if not keeps:
+            headers.append((b'Connection', b'close'))
+        head = h11.Response(
+            status_code=answer.status,
+            headers=headers,
+            reason=answer.reason,
+        )
+        parts = [http.send(head) or b'']
+        if answer.body and (call is None or call.method != b'HEAD'):
+            parts.append(http.send(h11.Data(data=answer.body)) or b'')
+        parts.append(http.send(h11.EndOfMessage()) or b'')
+        return b''.join(parts)
+
+
+def _close(caller: socket.socket) -> None:
+    """Close a connection so that the caller can read its last answer.
+
+    A close with unread bytes would reset the connection, and the answer with
+    it; so what still comes is read until the caller closes too.
+    """
+    with suppress(OSError):
+        caller.shutdown(socket.SHUT_WR)
+        caller.settimeout(LINGER)
+        for _ in range(LINGER_BYTES // READ_BYTES):
+            if not caller.recv(READ_BYTES):
+                break
+    with suppress(OSError):
+        caller.close()
+
+
+@contextmanager
+def ingress_server(
+    ingress: Ingress,
+    address: str,
+    tasks: TaskGroup,
+) -> Iterator[None]:
+    """Serve callers for the length of a block.
+
+    Args:
+        ingress: What serves a connection.
+        address: Where to listen, `host:port`.
+        tasks: Runs the listening task and one for each connection.
+
+    Yields:
+        Nothing.
+
+    Raises:
+        OSError: If the address can't be bound.
+    """
+    host, _, port = address.rpartition(':')
+    listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+    listener.settimeout(ACCEPT_WAIT)
+    stopping = threading.Event()
+    accepting = tasks.start(
+        partial(_accept, listener, ingress, tasks, stopping)
+    )
+    with listener:
+        try:
+            yield
+        finally:
+            stopping.set()
+            accepting.result()
+
+
+def _accept(
+    listener: socket.socket,
+    ingress: Ingress,
+    tasks: TaskGroup,
+    stopping: threading.Event,
+) -> None:
+    while not stopping.is_set():
+        try:
+            caller, _ = listener.accept()
+        except TimeoutError:
+            continue
+        except OSError as error:
+            _log.warning('no connection taken', extra={'error': str(error)})
+            stopping.wait(ACCEPT_WAIT)
+            continue
+        if len(ingress.connections) >= ingress.max_connections:
+            _log.warning('too many connections')
+            caller.close()
+            continue
+        ingress.connections.add(caller)
+        tasks.start(partial(ingress.serve, caller))
--- a/basilwall/operators/platform_reporting.py
+++ b/basilwall/operators/platform_reporting.py
@@ -1,10 +1,10 @@
 """Reports what is in force, what was refused, and how the platform is read."""
 
+from basilwall.configuration.watching import PlatformWatch, whole_health
 from basilwall.operators.status import KeyStatus, PlatformStatus
 from basilwall.parts.clock import Clock
 from basilwall.parts.refusals import NO_REFUSAL
 from basilwall.parts.revisions import RevisionRegister
-from basilwall.platform.watching import PlatformWatch, whole_health
 
 
 class PlatformReporter:
--- a/basilwall/order/dispatch.py
+++ b/basilwall/order/dispatch.py
@@ -14,9 +14,9 @@
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.rules import RULE_BY_KIND_AND_TAG
 from basilwall.backend.suspects import REFUSED, Content, Suspects
+from basilwall.configuration.state import PlatformState
 from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.clock import Clock
-from basilwall.platform.state import PlatformState
 from basilwall.records.attempt import (
     Answered,
     AttemptOutcome,
--- a/basilwall/parts/clock.py
+++ b/basilwall/parts/clock.py
@@ -33,6 +33,17 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """The clock of this machine, which goes on while it is suspended.
+
+    A deadline that was set before a suspension has passed after it.
+    """
+
+    def monotonic(self) -> float:
+        """Return the seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to."""
 
--- a/basilwall/peer/facts_test.py
+++ b/basilwall/peer/facts_test.py
@@ -17,6 +17,9 @@
     rule,
 )
 
+from basilwall.configuration.client import PlatformError, WatchReply
+from basilwall.configuration.state import PlatformState
+from basilwall.configuration.watching import PlatformWatch
 from basilwall.document.keys import DOCUMENTS
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.departures import BELIEF, Departures
@@ -28,9 +31,6 @@
 from basilwall.peer.facts import MAX_VALUES_BYTES, Facts, in_steps
 from basilwall.peer.generated import peer_pb2
 from basilwall.peer.links import CALL_TIMEOUT, PeerLinks
-from basilwall.platform.client import PlatformError, WatchReply
-from basilwall.platform.state import PlatformState
-from basilwall.platform.watching import PlatformWatch
 from basilwall.records.catalogue import PublishedValue
 
 COUNT = 3
--- a/basilwall/platform/__init__.py
+++ b/basilwall/platform/__init__.py
@@ -1,4 +1,6 @@
-"""The platform: its configuration service and its fleet list.
+"""Translation between the users' platform and the product.
 
-Both can only be read and watched, and both may be down or stale.
+Only names and encodings are handled here: the settings file that the platform
+writes, its metadata store, the values in it and the headers of requests. All
+decisions are made elsewhere, on the product's own types.
 """
--- /dev/null
+++ b/basilwall/platform/codec.py
@@ -0,0 +1,80 @@
+"""The adapter's side of the interfaces that the product defines."""
+
+import h11
+
+from basilwall.forwarding.codec import AttemptCodec
+from basilwall.ingress.codec import CallerCodec
+from basilwall.platform import headers, values
+from basilwall.records.forwarding import Answer, Call, Reply
+from basilwall.records.ids import SearcherId
+from basilwall.records.routes import RouteTable
+from basilwall.records.searcher import Searcher
+from basilwall.routing.deployment import UnreadableError, ValueReader
+
+
+class HeaderCodec(AttemptCodec, CallerCodec):
+    """Requests and replies with the headers of the users' platform."""
+
+    def attempt(
+        self,
+        call: Call,
+        searcher: SearcherId,
+        time_left: float,
+    ) -> h11.Request:
+        """Return the head of one attempt."""
+        return headers.encode_attempt(call, searcher, time_left)
+
+    def belongs(self, call: Call, response: h11.Response) -> bool:
+        """Return whether a reply is one to this request."""
+        return headers.is_reply_to(call.request_id, response)
+
+    def reply(
+        self,
+        searcher: SearcherId,
+        response: h11.Response,
+        body: bytes,
+    ) -> Reply:
+        """Read the whole reply of a searcher."""
+        return headers.decode_reply(searcher, response, body)
+
+    def idle_limit(self, response: h11.Response) -> float | None:
+        """Return how long the searcher keeps an idle connection."""
+        return headers.idle_limit(response)
+
+    def call(self, request: h11.Request, body: bytes, now: float) -> Call:
+        """Read a caller's request."""
+        return headers.decode_call(request, body, now)
+
+    def headers(
+        self,
+        call: Call | None,
+        answer: Answer,
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer, but for those of framing."""
+        return headers.answer_headers(call, answer)
+
+
+class StoreValues(ValueReader):
+    """The values that the platform's store holds."""
+
+    def is_table(self, key: str) -> bool:
+        """Return whether the route table stands under `key`."""
+        return key == values.TABLE_KEY
+
+    def is_searcher(self, key: str) -> bool:
+        """Return whether a searcher's entry stands under `key`."""
+        return key.startswith(values.SEARCHER_PREFIX)
+
+    def table(self, body: bytes) -> RouteTable:
+        """Read the route table."""
+        try:
+            return values.decode_table(body)
+        except values.UnreadableValueError as error:
+            raise UnreadableError(str(error)) from error
+
+    def searcher(self, key: str, body: bytes) -> Searcher:
+        """Read a searcher's entry."""
+        try:
+            return values.decode_searcher(key, body)
+        except values.UnreadableValueError as error:
+            raise UnreadableError(str(error)) from error
--- /dev/null
+++ b/basilwall/platform/headers.py
@@ -0,0 +1,180 @@
+"""The headers of requests and replies on the wire.
+
+What the users' protocol names stands here and nowhere else.
+"""
+
+import math
+
+import h11
+
+from basilwall.records.forwarding import Answer, Call, RawHeaders, Reply
+from basilwall.records.ids import SearcherId
+
+MILLISECONDS = 1000
+#: Waited for if the caller names no time, in seconds.
+DEFAULT_WAIT = 30.0
+#: Longest wait that is taken in, in seconds.
+MAX_WAIT = 86_400.0
+
+# Each attempt of a caller has an id of its own.
+REQUEST_ID = b'request-id'
+# How much longer the sender will wait, in milliseconds.
+TIME_LEFT = b'request-deadline-ms'
+# The one searcher that may run the request; any other answers 421.
+ONLY_FOR = b'Expect-Instance'
+# The digest of a searcher's answer.
+DIGEST = b'server-stamp'
+# Says that the searcher did not run the request.
+DID_NOT_RUN = b'not-executed'
+
+_OF_ONE_CONNECTION = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+        b'content-length',
+    )
+)
+_SET_HERE = frozenset((b'expect-instance', TIME_LEFT))
+_NONE: frozenset[bytes] = frozenset()
+_MISDIRECTED = 421
+
+
+def decode_call(request: h11.Request, body: bytes, now: float) -> Call:
+    """Read a caller's request.
+
+    Args:
+        request: The head.
+        body: The whole body, decoded from chunks.
+        now: When the head was read, in monotonic seconds.
+
+    Returns:
+        The request with the headers that go on.
+    """
+    by_name = dict(request.headers)
+    host = by_name.get(b'host', b'').decode('latin-1').lower()
+    return Call(
+        method=request.method,
+        target=request.target,
+        host=host.rpartition(':')[0] if ':' in host else host,
+        request_id=by_name.get(REQUEST_ID, b''),
+        headers=_forwarded(request, _SET_HERE),
+        body=body,
+        received_at=now,
+        expires_at=now + _wait(by_name.get(TIME_LEFT, b'')),
+    )
+
+
+def encode_attempt(
+    call: Call,
+    searcher: SearcherId,
+    time_left: float,
+) -> h11.Request:
+    """Return the head of one attempt.
+
+    Args:
+        call: The caller's request.
+        searcher: The searcher that alone may run it.
+        time_left: How long its answer is waited for, in seconds.
+    """
+    left = max(int(time_left * MILLISECONDS), 1)
+    headers = [
+        *call.headers,
+        (b'Request-Deadline-Ms', str(left).encode()),
+        (ONLY_FOR, searcher.encode()),
+    ]
+    if call.body or call.method not in {b'GET', b'HEAD'}:
+        headers.append((b'Content-Length', str(len(call.body)).encode()))
+    return h11.Request(
+        method=call.method,
+        target=call.target,
+        headers=headers,
+    )
+
+
+def is_reply_to(request_id: bytes, response: h11.Response) -> bool:
+    """Return whether a reply names no other request than this one."""
+    named = dict(response.headers).get(REQUEST_ID)
+    return named is None or named == request_id
+
+
+def decode_reply(
+    searcher: SearcherId,
+    response: h11.Response,
+    body: bytes,
+) -> Reply:
+    """Read the whole reply of a searcher."""
+    by_name = dict(response.headers)
+    said_not_run = DID_NOT_RUN in by_name
+    options = by_name.get(b'connection', b'').lower()
+    return Reply(
+        searcher=searcher,
+        status=response.status_code,
+        reason=response.reason,
+        headers=_forwarded(response),
+        body=body,
+        digest=by_name.get(DIGEST, b''),
+        has_run=not (said_not_run or response.status_code == _MISDIRECTED),
+        is_leaving=b'close' in options,
+    )
+
+
+def idle_limit(response: h11.Response) -> float | None:
+    """Return how long the sender keeps an idle connection, in seconds.
+
+    None if it does not say.
+    """
+    for part in dict(response.headers).get(b'keep-alive', b'').split(b','):
+        name, _, text = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and text.isdigit():
+            return float(int(text))
+    return None
+
+
+def answer_headers(
+    call: Call | None,
+    answer: Answer,
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of the final answer, but for those of framing."""
+    headers = list(answer.headers)
+    names = {name.lower() for name, _ in headers}
+    if call is not None and call.request_id and REQUEST_ID not in names:
+        headers.append((b'Request-Id', call.request_id))
+    if answer.digests:
+        headers.append((b'Part-Stamps', b', '.join(answer.digests)))
+        headers.append((b'Missing-Parts', str(answer.missing).encode()))
+    if answer.retry_after is not None:
+        after = f'{answer.retry_after:.2f}'
+        headers.append((b'Retry-After', after.encode()))
+    return headers
+
+
+def _forwarded(
+    head: h11.Request | h11.Response,
+    also_left_out: frozenset[bytes] = _NONE,
+) -> RawHeaders:
+    options = dict(head.headers).get(b'connection', b'').lower().split(b',')
+    left_out = _OF_ONE_CONNECTION | also_left_out
+    left_out |= {option.strip() for option in options} - {b'host'}
+    return tuple(
+        (raw, text)
+        for raw, text in head.headers.raw_items()
+        if raw.lower() not in left_out
+    )
+
+
+def _wait(text: bytes) -> float:
+    try:
+        seconds = float(text) / MILLISECONDS
+    except ValueError:
+        return DEFAULT_WAIT
+    if math.isnan(seconds):
+        return DEFAULT_WAIT
+    return min(max(seconds, 0), MAX_WAIT)
--- /dev/null
+++ b/basilwall/platform/node.py
@@ -0,0 +1,118 @@
+"""Reads the settings file that the platform writes for each process.
+
+Its path stands in an environment variable. Fields that are not listed here
+are left out on purpose: new ones may come at any time.
+"""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+from basilwall.records.ids import Region, VmAddress, Zone
+from basilwall.routing.bounds import Bounds
+from basilwall.routing.place import Place
+from basilwall.settings.entry import EntrySettings
+
+PATH_VARIABLE = 'BASILWALL_NODE_FILE'
+DEFAULT_PATH = '/etc/basilwall/local.json'
+MILLISECONDS = 1000
+#: As in deploy/system.toml, which is read before any settings are.
+METRICS_PORT = 9464
+
+
+class NodeFileError(Exception):
+    """The settings file can't be used; says what is wrong with it."""
+
+
+class _Listen(msgspec.Struct):
+    # Where callers connect.
+    front: str
+    # Where the balancer asks whether it may send callers.
+    ready: str
+    # Where other VMs call.
+    control: str = ''
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: int
+    max_fds: int
+
+
+class _Bounds(msgspec.Struct):
+    retry_budget_ratio: float
+    budget_window_s: float
+    budget_slack: float
+    grace_s: float
+    drain_ms: float
+    config_apply_ms: float
+
+
+class _Store(msgspec.Struct):
+    address: str
+    reads_per_s: float
+    history_s: float
+
+
+class _Node(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    zones: dict[str, str]
+    listen: _Listen
+    limits: _Limits
+    bounds: _Bounds
+    platform: _Store
+    seed_nodes: tuple[str, ...] = ()
+    heartbeat_ms: float = 1000
+
+
+def settings_path() -> Path:
+    """Return where the platform put the settings of this process."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_node_file(path: Path) -> EntrySettings:
+    """Read the settings of this process.
+
+    Args:
+        path: The file that the platform wrote.
+
+    Returns:
+        The settings in the product's words.
+
+    Raises:
+        NodeFileError: If the file is missing or a needed field is not right.
+    """
+    try:
+        node = msgspec.json.decode(path.read_bytes(), type=_Node)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise NodeFileError(f'{path}: {error}') from error
+    return EntrySettings(
+        name=node.node,
+        place=Place(
+            Zone(node.zone),
+            {Zone(zone): Region(one) for zone, one in node.zones.items()},
+        ),
+        caller_address=node.listen.front,
+        readiness_address=node.listen.ready,
+        peer_address=VmAddress(node.listen.control),
+        seeds=tuple(map(VmAddress, node.seed_nodes)),
+        store_address=node.platform.address,
+        metrics_address=f'{node.ip}:{METRICS_PORT}',
+        memory_mb=node.limits.memory_mb,
+        descriptors=node.limits.max_fds,
+        heartbeat=node.heartbeat_ms / MILLISECONDS,
+        bounds=_bounds(node.bounds),
+    )
+
+
+def _bounds(wire: _Bounds) -> Bounds:
+    return Bounds(
+        extra_ratio=wire.retry_budget_ratio,
+        extra_slack=wire.budget_slack,
+        extra_window=wire.budget_window_s,
+        stop_limit=wire.grace_s,
+        drain_limit=wire.drain_ms / MILLISECONDS,
+        document_limit=wire.config_apply_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/basilwall/platform/values_test.py
@@ -0,0 +1,65 @@
+"""Decoders of stored values against random bytes and random JSON."""
+
+import json
+from functools import partial
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilwall.platform.values import (
+    UnreadableValueError,
+    decode_searcher,
+    decode_table,
+)
+from basilwall.records.routes import RouteTable
+from basilwall.records.searcher import Searcher
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'capacity': 2,
+    'state': 'ready',
+    'cold_left_ms': 1500,
+    'born': 7,
+}
+
+
+@given(st.binary(max_size=200) | JSON.map(lambda one: json.dumps(one).encode()))
+def test_odd_values_are_refused_and_nothing_else_is_raised(value):
+    for decode in (decode_table, partial(decode_searcher, 'servers/i')):
+        try:
+            decoded = decode(value)
+        except UnreadableValueError:
+            continue
+        assert isinstance(decoded, RouteTable | Searcher)
+
+
+@given(st.sampled_from(sorted(ENTRY)), JSON)
+def test_an_entry_with_one_odd_field_is_refused_or_whole(field, odd):
+    value = json.dumps({**ENTRY, field: odd}).encode()
+    try:
+        searcher = decode_searcher('servers/i', value)
+    except UnreadableValueError:
+        return
+    assert searcher.slots >= 1
+    assert isinstance(searcher.started_ms, int)
+
+
+def test_an_entry_is_decoded_into_seconds_and_words_of_the_product():
+    searcher = decode_searcher('servers/i-1', json.dumps(ENTRY).encode())
+    assert searcher == Searcher(
+        'i-1',
+        's',
+        '10.0.0.1:80',
+        'z',
+        2,
+        False,
+        1.5,
+        7,
+    )
--- a/basilwall/query/canary_test.py
+++ b/basilwall/query/canary_test.py
@@ -22,6 +22,7 @@
 from basilwall.backend.bystanders import Bystanders
 from basilwall.backend.pool import AttemptJob
 from basilwall.backend.suspects import REFUSED, Content, Suspects
+from basilwall.configuration.state import PlatformState
 from basilwall.document.model import Document
 from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.choice import LatencyEstimate
@@ -29,7 +30,6 @@
 from basilwall.parts.fingerprints import fingerprint
 from basilwall.parts.quarantine import EXPIRY, Quarantine, Suspicion
 from basilwall.parts.sightings import Sightings
-from basilwall.platform.state import PlatformState
 from basilwall.query.canary import Canary, Tried
 from basilwall.query.policy import policy_of
 from basilwall.query.progress import Query
--- a/basilwall/query/fakes_test.py
+++ b/basilwall/query/fakes_test.py
@@ -11,12 +11,12 @@
 from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.backend.pools import SearcherPools
 from basilwall.backend.replies import RawReply, ReplyError, read_reply
+from basilwall.configuration.state import PlatformState
 from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.choice import LatencyEstimate
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.departures import Departures
 from basilwall.parts.sightings import Sightings
-from basilwall.platform.state import PlatformState
 from basilwall.query.inbox import Inbox
 from basilwall.query.pinning import Pinning
 from basilwall.query.policy import Policies
--- a/basilwall/query/pinning.py
+++ b/basilwall/query/pinning.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 
 from basilwall.backend.pools import SearcherPools
+from basilwall.configuration.state import PlatformState
 from basilwall.parts.departures import Departures
 from basilwall.parts.sightings import Sightings
-from basilwall.platform.state import PlatformState
 from basilwall.records.catalogue import Part, Snapshot
 from basilwall.records.ids import ServiceName, SnapshotId
 
--- a/basilwall/records/ids.py
+++ b/basilwall/records/ids.py
@@ -30,3 +30,8 @@
 
 #: Assigned by the platform; grows with each change of any key.
 Revision = NewType('Revision', int)
+
+#: A name of a route, unique within one table.
+RouteName = NewType('RouteName', str)
+#: One life of a searcher; an address is reused, this is not.
+SearcherId = NewType('SearcherId', str)
--- /dev/null
+++ b/basilwall/records/searcher.py
@@ -0,0 +1,29 @@
+"""A searcher as the platform lists it."""
+
+from dataclasses import dataclass
+
+from basilwall.records.ids import (
+    SearcherAddress,
+    SearcherId,
+    ServiceName,
+    Zone,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Searcher:
+    """One listed searcher.
+
+    `slots` is how many requests it runs at once, from all VMs together.
+    `cold_for` is how long it stays slow after its start, in seconds from
+    when it was listed. `started_ms` tells two lives under one id apart.
+    """
+
+    searcher_id: SearcherId
+    service: ServiceName
+    address: SearcherAddress
+    zone: Zone
+    slots: int
+    is_leaving: bool
+    cold_for: float
+    started_ms: int
--- /dev/null
+++ b/basilwall/routing/__init__.py
@@ -0,0 +1,4 @@
+"""Where requests may go: the routes in force, the searchers, the choice.
+
+Nothing here opens a connection or knows a wire format.
+"""
--- /dev/null
+++ b/basilwall/standin/metadata_store.py
@@ -0,0 +1,160 @@
+"""A stand-in for the metadata store of the users' platform.
+
+It speaks the same calls: one item, a range in pages, and a watch that waits.
+Tests write to it directly, and make it lose its history or go down.
+"""
+
+import base64
+import threading
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from basilwall.standin.http_server import (
+    StandInHandler,
+    StandInServer,
+    split_address,
+)
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_UNAVAILABLE = 503
+MILLISECONDS = 1000
+#: Items of one page of a range.
+PAGE_ITEMS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    key: str
+    revision: int
+    value: bytes | None
+
+    def as_json(self) -> dict[str, Any]:
+        if self.value is None:
+            return {
+                'key': self.key,
+                'revision': self.revision,
+                'removed': True,
+            }
+        return {
+            'key': self.key,
+            'value': base64.b64encode(self.value).decode(),
+            'revision': self.revision,
+            'created': self.revision,
+            'lease_id': 0,
+        }
+
+
+class MetadataStore:
+    """Keys with revisions, served over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.is_down = False
+        self.calls = 0
+        self._changes: list[_Change] = []
+        self._forgotten = 0
+        self._revision = 0
+        self._changed = threading.Condition()
+        self._server: StandInServer | None = None
+
+    def start(self) -> None:
+        """Listen, and serve on threads."""
+        store = self
+
+        class Handler(_StoreHandler):
+            store_in = store
+
+        self._server = StandInServer(split_address(self.address), Handler)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop()
+
+    def cut(self) -> None:
+        """Cut all connections; the store goes on."""
+        if self._server is not None:
+            self._server.cut_connections()
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write a value and return its revision."""
+        return self._change(key, value)
+
+    def remove(self, key: str) -> int:
+        """Remove a key and return the revision of that."""
+        return self._change(key, None)
+
+    def forget(self) -> None:
+        """Drop the history: watches from before now are refused."""
+        with self._changed:
+            self._forgotten = self._revision
+            self._changed.notify_all()
+
+    def range(self, prefix: str, after: str) -> dict[str, Any]:
+        """Return one page of the items under a prefix."""
+        with self._changed:
+            by_key = {one.key: one for one in self._changes}
+            found = [
+                by_key[key]
+                for key in sorted(by_key)
+                if key.startswith(prefix)
+                and key > after
+                and by_key[key].value is not None
+            ]
+            return {
+                'items': [one.as_json() for one in found[:PAGE_ITEMS]],
+                'has_more': len(found) > PAGE_ITEMS,
+                'at': self._revision,
+            }
+
+    def watch(self, prefix: str, after: int, wait: float) -> dict[str, Any]:
+        """Wait up to `wait` seconds for changes; None if they are forgotten."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._revision > after or self.is_down,
+                wait,
+            )
+            if after < self._forgotten:
+                return {}
+            events = [
+                one.as_json()
+                for one in self._changes
+                if one.revision > after and one.key.startswith(prefix)
+            ]
+            return {'events': events, 'at': self._revision}
+
+    def _change(self, key: str, value: bytes | None) -> int:
+        with self._changed:
+            self._revision += 1
+            self._changes.append(_Change(key, self._revision, value))
+            self._changed.notify_all()
+            return self._revision
+
+
+class _StoreHandler(StandInHandler):
+    store_in: MetadataStore
+
+    def do_GET(self) -> None:
+        store = self.store_in
+        store.calls += 1
+        parts = urlsplit(self.path)
+        fields = {key: one[0] for key, one in parse_qs(parts.query).items()}
+        prefix = fields.get('prefix', '')
+        if store.is_down:
+            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
+        elif parts.path == '/v1/kv-range':
+            self.reply_json(
+                HTTP_OK, store.range(prefix, fields.get('after', ''))
+            )
+        elif parts.path == '/v1/kv-watch':
+            after = int(fields['after'])
+            wait = int(fields['wait_ms']) / MILLISECONDS
+            changes = store.watch(prefix, after, wait)
+            self.reply_json(HTTP_OK if changes else HTTP_GONE, changes)
+        else:
+            self.reply_json(HTTP_NOT_FOUND, {'error': 'no such call'})
--- a/basilwall/standin/platform.py
+++ b/basilwall/standin/platform.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from basilwall.platform.client import WatchReply
+from basilwall.configuration.client import WatchReply
 from basilwall.records.catalogue import PublishedValue
 from basilwall.standin.http_server import (
     StandInHandler,
--- /dev/null
+++ b/basilwall/standin/record_searcher.py
@@ -0,0 +1,222 @@
+"""A stand-in for a searcher of the users' platform.
+
+It answers with records and a digest, runs only what names it, and can be told
+to misbehave in each way that the platform's searchers do.
+"""
+
+import socket
+import struct
+import threading
+import time
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import Enum
+
+import h11
+
+from basilwall.standin.http_server import split_address
+
+READ_BYTES = 65_536
+BACKLOG = 256
+HTTP_OK = 200
+HTTP_MISDIRECTED = 421
+HTTP_ERROR = 500
+HTTP_UNAVAILABLE = 503
+_RESET = struct.pack('ii', 1, 0)
+
+
+class Conduct(Enum):
+    """How a searcher treats one request."""
+
+    ANSWER = 'answer'
+    SHED = 'shed'
+    FAIL = 'fail'
+    RESET = 'reset'
+    CUT_SHORT = 'cut_short'
+    SPOIL = 'spoil'
+    EXTRA_AFTER = 'extra_after'
+    OTHER_BEFORE = 'other_before'
+    UNFRAMED = 'unframed'
+    SILENT = 'silent'
+    UNAVAILABLE = 'unavailable'
+
+
+@dataclass(frozen=True, slots=True)
+class SeenRequest:
+    """One request as it arrived."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    has_run: bool = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return a header by its name in small letters."""
+        return dict(self.headers).get(name)
+
+
+class RecordSearcher:
+    """One searcher on threads; `script` says how it treats the next ones."""
+
+    def __init__(
+        self,
+        address: str,
+        searcher_id: str,
+        records: Sequence[bytes] = (),
+        work: float = 0,
+    ) -> None:
+        self.address = address
+        self.searcher_id = searcher_id
+        self.body = b''.join(records)
+        self.work = work
+        self.script: deque[Conduct] = deque()
+        self.conduct = Conduct.ANSWER
+        self.seen: list[SeenRequest] = []
+        #: Connections that ended while a request was silent or at work.
+        self.left = 0
+        self._listener = socket.create_server(
+            split_address(address),
+            backlog=BACKLOG,
+        )
+        self._connections: set[socket.socket] = set()
+
+    def start(self) -> None:
+        """Serve on threads."""
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for connection in tuple(self._connections):
+            _reset(connection)
+
+    def digest(self, request_id: bytes) -> bytes:
+        """Return the digest of the answer to one request."""
+        return b'.'.join((self.searcher_id.encode(), request_id))
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.add(connection)
+            threading.Thread(
+                target=self._serve,
+                args=(connection,),
+                daemon=True,
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        try:
+            with connection:
+                goes_on = True
+                while goes_on:
+                    goes_on = self._serve_one(connection)
+        except (OSError, h11.RemoteProtocolError):
+            return
+        finally:
+            self._connections.discard(connection)
+
+    def _serve_one(self, connection: socket.socket) -> bool:
+        request = _read(connection)
+        if request is None:
+            return False
+        conduct = self.script.popleft() if self.script else self.conduct
+        expected = request.header(b'expect-instance')
+        if expected not in {None, self.searcher_id.encode()}:
+            self.seen.append(request)
+            connection.sendall(_head(HTTP_MISDIRECTED, b'', b'no', 0))
+            return True
+        has_run = conduct is not Conduct.SHED
+        self.seen.append(replace(request, has_run=has_run))
+        time.sleep(self.work)
+        request_id = request.header(b'request-id') or b''
+        return self._act(connection, conduct, request_id)
+
+    def _act(
+        self,
+        connection: socket.socket,
+        conduct: Conduct,
+        request_id: bytes,
+    ) -> bool:
+        if conduct is Conduct.SILENT:
+            connection.recv(1)
+            self.left += 1
+            return False
+        if conduct is Conduct.RESET:
+            _reset(connection)
+            return False
+        connection.sendall(self._bytes(conduct, request_id))
+        return conduct not in {Conduct.CUT_SHORT, Conduct.UNFRAMED}
+
+    def _answer(
+        self,
+        request_id: bytes,
+        digest: bytes,
+        size: int | None,
+    ) -> bytes:
+        head = _head(HTTP_OK, request_id, digest, size)
+        return b''.join((head, self.body))
+
+    def _bytes(self, conduct: Conduct, request_id: bytes) -> bytes:
+        digest, size = self.digest(request_id), len(self.body)
+        answer = self._answer(request_id, digest, size)
+        other = self._answer(b'another', b'other', size)
+        shed = (
+            b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+        )
+        by_conduct = {
+            Conduct.SHED: shed,
+            Conduct.FAIL: _head(HTTP_ERROR, request_id, digest, 0),
+            Conduct.UNAVAILABLE: _head(HTTP_UNAVAILABLE, request_id, digest, 0),
+            Conduct.CUT_SHORT: answer[: -size // 2],
+            Conduct.SPOIL: b'\x00\xffnothing of HTTP\r\n\r\n',
+            Conduct.EXTRA_AFTER: b''.join((answer, other)),
+            Conduct.OTHER_BEFORE: b''.join((other, answer)),
+            Conduct.UNFRAMED: self._answer(request_id, digest, None),
+        }
+        return by_conduct.get(conduct, answer)
+
+
+def _read(connection: socket.socket) -> SeenRequest | None:
+    http = h11.Connection(h11.SERVER)
+    events: list[object] = []
+    while not (events and isinstance(events[-1], h11.EndOfMessage)):
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(connection.recv(READ_BYTES))
+        elif isinstance(event, h11.Request | h11.Data | h11.EndOfMessage):
+            events.append(event)
+        else:
+            return None
+    head = events[0]
+    if not isinstance(head, h11.Request):
+        return None
+    chunks = [bytes(one.data) for one in events if isinstance(one, h11.Data)]
+    headers = tuple((bytes(name), bytes(one)) for name, one in head.headers)
+    return SeenRequest(head.method, head.target, headers, b''.join(chunks))
+
+
+def _head(
+    status: int,
+    request_id: bytes,
+    digest: bytes,
+    size: int | None,
+) -> bytes:
+    lines = [f'HTTP/1.1 {status} X'.encode(), b'Server-Stamp: ' + digest]
+    if request_id:
+        lines.append(b'Request-Id: ' + request_id)
+    if size is None:
+        lines.append(b'Connection: close')
+    else:
+        lines.append(f'Content-Length: {size}'.encode())
+    return b'\r\n'.join([*lines, b'', b''])
+
+
+def _reset(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    connection.close()
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -22,6 +22,11 @@
 from basilwall.caller.app import CallerApp
 from basilwall.caller.server import CallerServer, Listening, caller_server
 from basilwall.caller.service import CallerService
+from basilwall.configuration.client import HttpPlatform
+from basilwall.configuration.readers import is_chosen
+from basilwall.configuration.settling import settle
+from basilwall.configuration.state import PlatformState
+from basilwall.configuration.watching import PlatformWatch
 from basilwall.document.keys import CATALOGUES, FLEET, PREFIX
 from basilwall.operators.metrics import Metrics
 from basilwall.operators.platform_reporting import PlatformReporter
@@ -45,11 +50,6 @@
 from basilwall.peer.handing_over import HandingOver
 from basilwall.peer.links import PeerLinks
 from basilwall.peer.server import PeerService, peer_server
-from basilwall.platform.client import HttpPlatform
-from basilwall.platform.readers import is_chosen
-from basilwall.platform.settling import settle
-from basilwall.platform.state import PlatformState
-from basilwall.platform.watching import PlatformWatch
 from basilwall.query.pinning import Pinning
 from basilwall.query.policy import Policies
 from basilwall.query.runner import QueryRunner
--- a/bench/scattering.py
+++ b/bench/scattering.py
@@ -12,13 +12,13 @@
 from basilwall.backend.no_suspects_test import NoSuspects
 from basilwall.backend.pool import AttemptJob
 from basilwall.backend.pools import SearcherPools
+from basilwall.configuration.state import PlatformState
 from basilwall.document.model import Document
 from basilwall.parts.attempt_ids import AttemptIds
 from basilwall.parts.choice import LatencyEstimate
 from basilwall.parts.clock import SystemClock
 from basilwall.parts.departures import Departures
 from basilwall.parts.sightings import Sightings
-from basilwall.platform.state import PlatformState
 from basilwall.query.pinning import Pinning
 from basilwall.query.policy import Policies
 from basilwall.query.progress import Query
--- /dev/null
+++ b/tests/entry_stage.py
@@ -0,0 +1,248 @@
+"""A stage for one entry VM: store and searchers as stand-ins on loopback."""
+
+import contextlib
+import json
+import socket
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from basilwall.entry import EntryVm, running_entry
+from basilwall.platform.node import read_node_file
+from basilwall.standin.metadata_store import MetadataStore
+from basilwall.standin.ports import reserved_ports
+from basilwall.standin.record_searcher import RecordSearcher
+
+HOST = '127.0.0.1'
+PATIENCE = 20.0
+ZONES = ('near', 'far')
+REGIONS = {'near': 'here', 'far': 'there'}
+BOUNDS = {
+    'retry_budget_ratio': 0.2,
+    'budget_window_s': 10,
+    'budget_slack': 56,
+    'grace_s': 6,
+    'drain_ms': 3000,
+    'config_apply_ms': 3000,
+}
+LIMITS = {
+    'max_header_bytes': 4096,
+    'max_body_bytes': 65536,
+    'header_timeout_ms': 700,
+    'idle_timeout_ms': 15000,
+}
+SHARDS = ('shard-0', 'shard-1', 'shard-2', 'shard-3')
+RECORD = 16
+
+
+def wait_until(condition, patience=PATIENCE):
+    """Wait until a condition holds; fail if it does not in time."""
+    end = time.monotonic() + patience
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.01)
+    raise AssertionError('the condition did not come true')
+
+
+def route(prefix, **fields):
+    """Return one route, idempotent and of one service unless said."""
+    return {
+        'name': f'r{prefix}',
+        'host': 'h.example',
+        'prefix': prefix,
+        'type': 'idempotent',
+        'timeout_ms': 2000,
+        'target_latency_ms': 400,
+        'max_attempts': 2,
+        'priority': 1,
+        **fields,
+    }
+
+
+ROUTES = (
+    route('/one/', service='single'),
+    route('/once/', service='single', type='non_idempotent'),
+    route(
+        '/all/',
+        gather=list(SHARDS),
+        top_k=3,
+        min_shard_share=0.75,
+    ),
+)
+
+
+def table(version=1, routes=ROUTES):
+    """Return the document that puts routes in force."""
+    services = sorted({'single', 'other', *SHARDS})
+    return json.dumps(
+        {
+            'version': version,
+            'routes': list(routes),
+            'services': [
+                {'name': one, 'health_path': '/health', 'max_conns': 30}
+                for one in services
+            ],
+            'limits': LIMITS,
+        },
+    ).encode()
+
+
+@dataclass
+class Stage:
+    """What runs around the VM under test."""
+
+    store: MetadataStore
+    node_file: Path
+    caller: str
+    ready: str
+    searcher_by_id: dict[str, RecordSearcher] = field(default_factory=dict)
+    vm: EntryVm | None = None
+
+    def list_searcher(self, searcher_id, service, state='ready', zone='near'):
+        """Write the entry of a searcher."""
+        entry = {
+            'service': service,
+            'address': self.searcher_by_id[searcher_id].address,
+            'zone': zone,
+            'version': 'v1',
+            'capacity': 2,
+            'state': state,
+            'cold_left_ms': 0,
+            'call_seq': 1,
+            'born': 1,
+        }
+        key = f'servers/{searcher_id}'
+        return self.store.put(key, json.dumps(entry).encode())
+
+    def seen(self, service):
+        """Return all requests that ran at the searchers of a service."""
+        return [
+            one
+            for name, searcher in self.searcher_by_id.items()
+            if name.startswith(f'{service}.')
+            for one in searcher.seen
+            if one.has_run
+        ]
+
+
+def ask(address, request, timeout=10):
+    """Send raw bytes on a new connection and read until it ends."""
+    with dial(address, timeout) as connection:
+        connection.sendall(request)
+        return read_to_end(connection)
+
+
+def dial(address, timeout=10):
+    """Connect to an address of the VM."""
+    host, _, port = address.rpartition(':')
+    return socket.create_connection((host, int(port)), timeout)
+
+
+def read_to_end(connection):
+    """Read until the other side closes."""
+    read = b''
+    with contextlib.suppress(ConnectionResetError):
+        while chunk := connection.recv(65536):
+            read += chunk
+    return read
+
+
+def request(path, request_id='id-1', method='GET', body=b'', **headers):
+    """Return the bytes of a request that asks for the connection's end."""
+    fields = {
+        'Host': 'h.example',
+        'Request-Id': request_id,
+        'Request-Deadline-Ms': '1500',
+        'Connection': 'close',
+        **({'Content-Length': str(len(body))} if body else {}),
+        **{name.replace('_', '-'): one for name, one in headers.items()},
+    }
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [f'{name}: {one}' for name, one in fields.items() if one]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+def status_of(answer):
+    """Return the status of an answer's bytes, 0 if there is none."""
+    return int(answer.split(b' ')[1]) if answer.startswith(b'HTTP/') else 0
+
+
+def split(answer):
+    """Return the headers by name in small letters, and the body."""
+    head, _, body = answer.partition(b'\r\n\r\n')
+    lines = [line.partition(b': ') for line in head.split(b'\r\n')[1:]]
+    return {name.lower(): one for name, _, one in lines}, body
+
+
+def record(number):
+    """Return one record; greater numbers are greater records."""
+    return number.to_bytes(RECORD, 'big')
+
+
+@contextlib.contextmanager
+def staged(folder):
+    """Run a VM, its store and two searchers of each service.
+
+    Yields:
+        The stage; the VM is ready and knows all searchers.
+    """
+    services = ('single', *SHARDS)
+    count = 2 * len(services)
+    with reserved_ports(count + 5) as base, contextlib.ExitStack() as stack:
+        ports = [f'{HOST}:{base + number}' for number in range(count + 5)]
+        store = MetadataStore(ports[0])
+        store.start()
+        stack.callback(store.stop)
+        node_file = _node_file(folder, ports)
+        stage = Stage(store, node_file, ports[1], ports[2])
+        free = iter(ports[5:])
+        store.put('op/config', table())
+        for number, service in enumerate(services):
+            for zone in ZONES:
+                _add_searcher(stage, stack, service, zone, next(free), number)
+        settings = read_node_file(node_file)
+        stage.vm = stack.enter_context(running_entry(settings))
+        wait_until(lambda: _is_ready(stage))
+        yield stage
+
+
+def _is_ready(stage):
+    with contextlib.suppress(OSError):
+        return status_of(ask(stage.ready, request('/v1/readiness'))) == 200
+    return False
+
+
+def _add_searcher(stage, stack, service, zone, address, number):
+    name = f'{service}.{zone}'
+    records = [record(number * 10 + place) for place in range(4)]
+    searcher = RecordSearcher(address, name, records)
+    searcher.start()
+    stack.callback(searcher.stop)
+    stage.searcher_by_id[name] = searcher
+    stage.list_searcher(name, service, zone=zone)
+
+
+def _node_file(folder, ports):
+    content = {
+        'node': 'vm-1',
+        'ip': HOST,
+        'zone': 'near',
+        'region': 'here',
+        'zones': REGIONS,
+        'listen': {'front': ports[1], 'ready': ports[2], 'control': ports[3]},
+        'internal_ports': [int(ports[4].rpartition(':')[2])] * 2,
+        'seed_nodes': [ports[3]],
+        'limits': {'memory_mb': 300, 'max_fds': 4100},
+        'bounds': BOUNDS,
+        'heartbeat_ms': 1200,
+        'platform': {
+            'address': ports[0],
+            'reads_per_s': 2000,
+            'history_s': 20,
+        },
+        'something_new': True,
+    }
+    path = folder / 'node.json'
+    path.write_text(json.dumps(content))
+    return path
