Tell other VMs who is there and which contents crash searchers

Cause: the budget and the caps of connections are shared by all VMs, which a VM counted as ten, and a content that crashes searchers would have taken some at each VM anew.

A small exchange of msgpack over HTTP once a second. Ruled out: the gRPC links that other VMs of the product use; importing grpcio adds 13 MB to 27 MB of resident memory of this program, and memory is dear on these VMs.

--- a/basilwall/backend/bystanders.py
+++ b/basilwall/backend/bystanders.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Collection
 
 from basilwall.backend.probe import find_dead
-from basilwall.configuration.state import PlatformState
 from basilwall.parts.clock import Clock
 from basilwall.records.ids import SearcherAddress, ServiceName
 from basilwall.records.strike import Evidence
@@ -27,6 +26,8 @@
 #: zone spares it once.
 TOGETHER = 0.1
 
+#: Returns searchers to ask beside the lost one, by its service.
+Neighbours = Callable[[ServiceName], Collection[SearcherAddress]]
 Probe = Callable[[Collection[SearcherAddress], float], set[SearcherAddress]]
 
 
@@ -35,12 +36,12 @@
 
     def __init__(
         self,
-        state: PlatformState,
+        neighbours: Neighbours,
         clock: Clock,
         source: random.Random,
         probe: Probe = find_dead,
     ) -> None:
-        self._state = state
+        self._neighbours = neighbours
         self._clock = clock
         self._salt = source.random()
         self._probe = probe
@@ -87,15 +88,7 @@
         service: ServiceName,
         left_out: set[SearcherAddress],
     ) -> set[SearcherAddress]:
-        catalogue = self._state.catalogue_by_service.get(service)
-        if catalogue is None or not catalogue.snapshots:
-            return set()
-        others = {
-            searcher
-            for part in catalogue.snapshots[0].parts
-            for searcher in part.searchers
-            if searcher not in left_out
-        }
+        others = set(self._neighbours(service)) - left_out
         return set(sorted(others, key=self._rank)[:BYSTANDERS])
 
     def _rank(self, searcher: SearcherAddress) -> int:
--- a/basilwall/configuration/state.py
+++ b/basilwall/configuration/state.py
@@ -18,7 +18,7 @@
 )
 from basilwall.document.model import Document
 from basilwall.records.catalogue import Catalogue, FleetList, PublishedValue
-from basilwall.records.ids import ServiceName
+from basilwall.records.ids import SearcherAddress, ServiceName
 
 _catalogue_decoder = msgspec.json.Decoder(Catalogue)
 _fleet_decoder = msgspec.json.Decoder(FleetList)
@@ -73,6 +73,14 @@
         whole = self.document_by_service.keys() & self.catalogue_by_service
         return self.is_settled and bool(whole)
 
+    def searchers(self, service: ServiceName) -> set[SearcherAddress]:
+        """Return the searchers of a service's newest snapshot."""
+        catalogue = self.catalogue_by_service.get(service)
+        if catalogue is None or not catalogue.snapshots:
+            return set()
+        parts = catalogue.snapshots[0].parts
+        return {searcher for part in parts for searcher in part.searchers}
+
     def _put(self, published: PublishedValue) -> None:
         for prefix, put in self._put_by_prefix().items():
             if published.key.startswith(prefix):
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -10,26 +10,34 @@
 import signal
 import sys
 import threading
+import uuid
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from functools import partial
 
+from basilwall.backend.bystanders import Bystanders
 from basilwall.configuration.watching import PlatformWatch
+from basilwall.fleet.links import FleetLinks
+from basilwall.fleet.messages import Tellings
+from basilwall.forwarding.crashes import CrashWatch
 from basilwall.forwarding.forwarder import Forwarder
 from basilwall.forwarding.leftovers import Leftovers
 from basilwall.forwarding.policy import Policy
 from basilwall.forwarding.pools import Pools
 from basilwall.forwarding.run import Senders
-from basilwall.ingress.readiness import page_server
 from basilwall.ingress.server import Ingress, StopState, ingress_server
 from basilwall.operators.log_queue import logging_to_stdout
+from basilwall.operators.pages import page_server
 from basilwall.parts.clock import BootClock, Clock
+from basilwall.parts.membership import Member, Membership
+from basilwall.parts.quarantine import Quarantine
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.parts.tasks import TaskGroup, task_group
 from basilwall.platform.codec import HeaderCodec, StoreValues
 from basilwall.platform.node import NodeFileError, read_node_file, settings_path
 from basilwall.platform.store import HttpStore
+from basilwall.records.ids import Incarnation
 from basilwall.records.routes import CallerLimits
 from basilwall.routing.deployment import LAPSE, Deployment
 from basilwall.routing.place import RoundTrips
@@ -38,8 +46,8 @@
 #: Time between two watches that returned changes, in seconds: changes come in
 #: groups, and each call to the store is paid for.
 STORE_GAP = 0.3
-#: VMs assumed to share the caps and the budget until others were heard.
-ASSUMED_FLEET = 10
+#: VMs that share caps and budgets at least, until others were heard of.
+LEAST_FLEET = 8
 #: Memory of one caller's connection at its worst, in MB.
 CONNECTION_MB = 0.3
 #: Descriptors kept for anything but connections.
@@ -59,6 +67,21 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """The other VMs, and what they know together."""
+
+    membership: Membership
+    quarantine: Quarantine
+    links: FleetLinks
+    tasks: TaskGroup
+
+    def size(self) -> int:
+        """Return how many VMs share caps and budgets, rather too many."""
+        known = len(self.membership.peers()) + 1
+        return max(known, LEAST_FLEET)
+
+
 @dataclass(frozen=True, slots=True)
 class EntryVm:
     """One running entry VM and its planned stop."""
@@ -66,6 +89,7 @@
     settings: EntrySettings
     deployment: Deployment
     ingress: Ingress
+    fleet: Fleet
     clock: Clock
 
     def stop(self) -> bool:
@@ -78,6 +102,7 @@
         limit = self.settings.bounds.stop_limit - LAST_ANSWERS
         state = self.ingress.stop
         state.is_stopping = True
+        self.fleet.membership.leave()
         _log.info('stopping', extra={'connections': self._open()})
         self._wait(began_at + min(BALANCER_LAG, limit / 2))
         state.closes_idle = True
@@ -122,7 +147,11 @@
     deployment.doubt = partial(_doubt, watch, clock)
     with ExitStack() as stack:
         tasks = stack.enter_context(task_group('task'))
-        ingress = _ingress(settings, deployment, clock, source, tasks)
+        fleet = _fleet(settings, tasks, clock, source)
+        ingress = _ingress(settings, deployment, fleet, clock, source)
+        tasks.start(fleet.links.run)
+        peers = page_server(settings.peer_address, fleet.links.answer)
+        stack.enter_context(peers)
         tasks.start(partial(watch.run, tasks.stopping))
         ready = partial(_readiness, deployment, ingress.stop)
         stack.enter_context(page_server(settings.readiness_address, ready))
@@ -130,7 +159,7 @@
             ingress_server(ingress, settings.caller_address, tasks),
         )
         stack.callback(tasks.stopping.set)
-        yield EntryVm(settings, deployment, ingress, clock)
+        yield EntryVm(settings, deployment, ingress, fleet, clock)
 
 
 def main() -> None:
@@ -158,33 +187,67 @@
         vm.stop()
 
 
+def _fleet(
+    settings: EntrySettings,
+    tasks: TaskGroup,
+    clock: Clock,
+    source: random.Random,
+) -> Fleet:
+    incarnation = Incarnation(uuid.uuid4().hex)
+    own = Member(settings.peer_address, incarnation, settings.place.zone)
+    membership = Membership(own, clock, settings.seeds)
+    quarantine = Quarantine(clock)
+    tellings = Tellings(membership, quarantine, source)
+    links = FleetLinks(tellings, tasks, source)
+    return Fleet(membership, quarantine, links, tasks)
+
+
+def _crash_watch(
+    deployment: Deployment,
+    fleet: Fleet,
+    clock: Clock,
+    source: random.Random,
+) -> CrashWatch:
+    crashes = CrashWatch(
+        fleet.quarantine,
+        Bystanders(deployment.addresses_beside, clock, source),
+        fleet.tasks,
+        fleet.membership.own.incarnation,
+    )
+    crashes.tell = fleet.links.push
+    return crashes
+
+
 def _ingress(
     settings: EntrySettings,
     deployment: Deployment,
+    fleet: Fleet,
     clock: Clock,
     source: random.Random,
-    tasks: TaskGroup,
 ) -> Ingress:
+    tasks = fleet.tasks
     codec = HeaderCodec()
     pools = Pools(
         deployment,
         RoundTrips(settings.place),
         clock,
-        _fleet_size,
+        fleet.size,
         source,
     )
     deployment.subscribe(pools.follow)
     leftovers = Leftovers(pools, clock)
+    policy = Policy(settings.bounds, fleet.size)
     senders = Senders(
         deployment,
         pools,
-        Policy(settings.bounds, _fleet_size),
+        policy,
         leftovers,
+        _crash_watch(deployment, fleet, clock, source),
         codec,
         clock,
     )
     tasks.start(partial(leftovers.run, tasks.stopping))
-    tasks.start(partial(_keep_house, pools, tasks.stopping))
+    tasks.start(partial(_keep_house, pools, policy, tasks.stopping))
     return Ingress(
         Forwarder(senders, source),
         codec,
@@ -194,10 +257,6 @@
     )
 
 
-def _fleet_size() -> int:
-    return ASSUMED_FLEET
-
-
 def _max_connections(settings: EntrySettings) -> int:
     by_memory = int(settings.memory_mb / 2 / CONNECTION_MB)
     by_descriptors = (settings.descriptors - SPARE_DESCRIPTORS) // 2
@@ -209,12 +268,16 @@
     return table.limits if table else CallerLimits()
 
 
-def _readiness(deployment: Deployment, stop: StopState) -> tuple[int, str]:
+def _readiness(
+    deployment: Deployment,
+    stop: StopState,
+    _: bytes,
+) -> tuple[int, bytes]:
     if stop.is_stopping:
-        return HTTP_UNAVAILABLE, 'stopping\n'
+        return HTTP_UNAVAILABLE, b'stopping\n'
     if deployment.table is None:
-        return HTTP_UNAVAILABLE, 'no route table yet\n'
-    return HTTP_OK, 'ready\n'
+        return HTTP_UNAVAILABLE, b'no route table yet\n'
+    return HTTP_OK, b'ready\n'
 
 
 def _doubt(watch: PlatformWatch, clock: Clock) -> float:
@@ -224,9 +287,14 @@
     return watch.health.returned_at + LAPSE
 
 
-def _keep_house(pools: Pools, stopping: threading.Event) -> None:
+def _keep_house(
+    pools: Pools,
+    policy: Policy,
+    stopping: threading.Event,
+) -> None:
     while not stopping.wait(HOUSEKEEPING_SECONDS):
         pools.close_idle()
+        policy.follow_fleet()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/basilwall/forwarding/crashes.py
@@ -0,0 +1,105 @@
+"""Finds out which contents crash the searchers that run them.
+
+A caller sends a failed request again, to any VM, so a content that crashes
+searchers would take one after the other. When an attempt is cut off, its
+searcher is asked whether it still accepts connections, and so are others that
+ran nothing of the content: where those died too, the content is not to blame.
+Two searchers that died under a content put it under quarantine at every VM.
+This answers single requests that take down whole services.
+"""
+
+import itertools
+import logging
+import threading
+from collections.abc import Callable
+from functools import partial
+
+from basilwall.backend.bystanders import Bystanders
+from basilwall.parts.fingerprints import fingerprint
+from basilwall.parts.quarantine import Quarantine, Suspicion
+from basilwall.parts.tasks import TaskGroup
+from basilwall.records.forwarding import AttemptResult, Call, LossReason, Lost
+from basilwall.records.ids import Fingerprint, IncidentId, ServiceName
+from basilwall.records.searcher import Searcher
+from basilwall.records.strike import Evidence, Strike
+
+#: Inquiries at once; losses beyond them are too many for one content.
+MAX_INQUIRIES = 8
+
+_log = logging.getLogger(__name__)
+
+
+class CrashWatch:
+    """What this VM knows of contents that crash searchers."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        bystanders: Bystanders,
+        tasks: TaskGroup,
+        name: str,
+    ) -> None:
+        self.tell: Callable[[], None] = _tell_nobody
+        self._quarantine = quarantine
+        self._bystanders = bystanders
+        self._tasks = tasks
+        self._incidents = (f'{name}/{number}' for number in itertools.count())
+        self._places = threading.BoundedSemaphore(MAX_INQUIRIES)
+
+    def is_quarantined(self, call: Call) -> bool:
+        """Return whether a request's content is known to crash searchers."""
+        judged = self._quarantine.judge(content_of(call))
+        return judged is Suspicion.QUARANTINED
+
+    def seconds_left(self, call: Call) -> float:
+        """Return how long the quarantine of a content lasts, in seconds."""
+        return self._quarantine.seconds_left(content_of(call))
+
+    def saw(
+        self, call: Call, searcher: Searcher, outcome: AttemptResult
+    ) -> None:
+        """Take in how an attempt ended that was waited for to its end."""
+        is_cut = isinstance(outcome, Lost) and outcome.reason is LossReason.CUT
+        if not is_cut or not self._places.acquire(blocking=False):
+            return
+        try:
+            self._tasks.start(
+                partial(self._inquire, content_of(call), searcher)
+            )
+        except RuntimeError as error:
+            self._places.release()
+            _log.info('no inquiry', extra={'error': str(error)})
+
+    def _inquire(self, content: Fingerprint, searcher: Searcher) -> None:
+        try:
+            evidence = self._bystanders.inquire(
+                searcher.service,
+                searcher.address,
+                self._quarantine.died_lately(),
+                self._quarantine.struck(content),
+            )
+        finally:
+            self._places.release()
+        _log.warning(
+            'searcher lost under a request',
+            extra={
+                'fingerprint': content,
+                'searcher': searcher.searcher_id,
+                'evidence': evidence.name.lower(),
+            },
+        )
+        if evidence is Evidence.DIED:
+            incident = IncidentId(next(self._incidents))
+            strike = Strike(incident, searcher.address, evidence)
+            self._quarantine.strike(content, [strike])
+            self.tell()
+
+
+def content_of(call: Call) -> Fingerprint:
+    """Return the same text for every resend of a request."""
+    body = b'\n'.join((call.target, call.body))
+    return fingerprint(ServiceName(call.host), call.method.decode(), body)
+
+
+def _tell_nobody() -> None:
+    """Stand in until the links to the other VMs are made."""
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -74,7 +74,8 @@
 
     def _answer(self, call: Call, route: Route, run: Run) -> Answer:
         scattering = route.scattering
-        refusal = self._refuse_hopeless(run.legs, scattering)
+        refusal = self._refuse_quarantined(call)
+        refusal = refusal or self._refuse_hopeless(run.legs, scattering)
         if refusal is not None:
             return refusal
         try:
@@ -97,6 +98,13 @@
         chosen = self._source.choices(route.shares, weights)
         return chosen[0].service
 
+    def _refuse_quarantined(self, call: Call) -> Answer | None:
+        """Refuse what would crash the searchers that run it."""
+        crashes = self._senders.crashes
+        if not crashes.is_quarantined(call):
+            return None
+        return self._refusal(Verdict.QUARANTINED, crashes.seconds_left(call))
+
     def _refuse_hopeless(
         self,
         legs: Sequence[Leg],
--- a/basilwall/forwarding/policy.py
+++ b/basilwall/forwarding/policy.py
@@ -39,7 +39,9 @@
         self._fleet_size = fleet_size
         self._hedge_by_route: dict[RouteName, HedgeDelay] = {}
         self._budget_by_service: dict[ServiceName, RetryBudget] = {}
+        self._slack: float = 0
         self._lock = threading.Lock()
+        self.follow_fleet()
 
     def hedge(self, route: Route) -> HedgeDelay:
         """Return the delay after which an attempt of a route is late."""
@@ -59,14 +61,18 @@
             if found is None:
                 if len(self._budget_by_service) >= MAX_ENTRIES:
                     self._budget_by_service.clear()
-                found = self._new_budget()
+                ratio = self._bounds.extra_ratio * USED_OF_BUDGET
+                found = RetryBudget(ratio, self._slack)
                 self._budget_by_service[service] = found
         return found
 
-    def _new_budget(self) -> RetryBudget:
-        bounds = self._bounds
-        slack = bounds.extra_slack * USED_OF_BUDGET / self._fleet_size()
-        return RetryBudget(bounds.extra_ratio * USED_OF_BUDGET, slack)
+    def follow_fleet(self) -> None:
+        """Divide the slack by the VMs that are known now."""
+        slack = self._bounds.extra_slack * USED_OF_BUDGET
+        with self._lock:
+            self._slack = slack / self._fleet_size()
+            for budget in self._budget_by_service.values():
+                budget.limit(self._slack)
 
 
 def _new_hedge(route: Route) -> HedgeDelay:
--- a/basilwall/forwarding/run.py
+++ b/basilwall/forwarding/run.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from basilwall.forwarding.codec import AttemptCodec
+from basilwall.forwarding.crashes import CrashWatch
 from basilwall.forwarding.exchange import Exchange
 from basilwall.forwarding.leftovers import Leftovers
 from basilwall.forwarding.leg import Leg
@@ -42,6 +43,7 @@
     pools: Pools
     policy: Policy
     leftovers: Leftovers
+    crashes: CrashWatch
     codec: AttemptCodec
     clock: Clock
 
@@ -161,6 +163,8 @@
 
     def _take(self, exchange: Exchange, outcome: AttemptResult) -> None:
         leg = self._leg_by_exchange[exchange]
+        searcher = exchange.connection.searcher
+        self._senders.crashes.saw(self._call, searcher, outcome)
         self._note(exchange, outcome)
         self._release(exchange, leg, has_ended=True)
         if leg.has_ended:
--- a/basilwall/ingress/readiness.py
+++ b/basilwall/operators/pages.py
@@ -1,7 +1,7 @@
-"""Tells the balancer whether to send callers here, and shows the metrics.
+"""Small HTTP pages for other programs: readiness, metrics, other VMs.
 
-Both are plain pages for the platform's own programs, on threads of their own
-so that they are answered however busy callers keep this VM.
+They have threads of their own, so that they are answered however busy callers
+keep this VM.
 """
 
 import threading
@@ -11,12 +11,14 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
-HTTP_OK = 200
-HTTP_UNAVAILABLE = 503
+HTTP_TOO_LARGE = 413
 POLL_SECONDS = 0.5
 
-#: Returns status and text of a page.
-Page = Callable[[], tuple[int, str]]
+#: A longer body is not read, in bytes.
+MAX_BODY_BYTES = 1_048_576
+
+#: Returns status and content of a page, for the body that was sent.
+Page = Callable[[bytes], tuple[int, bytes]]
 
 
 @contextmanager
@@ -64,13 +66,25 @@
         super().__init__(*connection)
 
     def do_GET(self) -> None:
-        status, text = self._page()
-        body = text.encode()
-        self.send_response(status)
-        self.send_header('Content-Type', 'text/plain; charset=utf-8')
-        self.send_header('Content-Length', str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+        """Answer with the page."""
+        self._answer(b'')
+
+    def do_POST(self) -> None:
+        """Answer with the page for a body."""
+        length = self.headers.get('Content-Length', '')
+        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+            self.send_error(HTTP_TOO_LARGE)
+            return
+        self._answer(self.rfile.read(int(length)))
 
     def log_message(self, *_: Any) -> None:
         """Say nothing: the pages are asked for every second."""
+
+    def _answer(self, body: bytes) -> None:
+        status, content = self._page(body)
+        head = (
+            f'HTTP/1.1 {status} {self.responses[status][0]}\r\n'
+            'Content-Type: text/plain; charset=utf-8\r\n'
+            f'Content-Length: {len(content)}\r\n\r\n'
+        )
+        self.wfile.write(b''.join((head.encode(), content)))
--- a/basilwall/query/canary_test.py
+++ b/basilwall/query/canary_test.py
@@ -129,7 +129,7 @@
             )
             quarantine = Quarantine(self.clock)
             bystanders = Bystanders(
-                state,
+                state.searchers,
                 self.clock,
                 random.Random(number),
                 self.find_dead,
--- a/basilwall/routing/deployment.py
+++ b/basilwall/routing/deployment.py
@@ -15,7 +15,7 @@
 
 from basilwall.parts.clock import Clock
 from basilwall.records.catalogue import PublishedValue
-from basilwall.records.ids import SearcherId, ServiceName
+from basilwall.records.ids import SearcherAddress, SearcherId, ServiceName
 from basilwall.records.routes import RouteTable
 from basilwall.records.searcher import Searcher
 
@@ -103,6 +103,13 @@
             self._end_holds()
         return self._by_service.get(service, ())
 
+    def addresses_beside(self, service: ServiceName) -> set[SearcherAddress]:
+        """Return the addresses of all searchers, of `service` or not.
+
+        A cut of a zone or a rack takes searchers of many services.
+        """
+        return {one.address for one in self._by_id.values()}
+
     def is_usable(self, searcher: Searcher) -> bool:
         """Return whether a searcher may still get new work."""
         if self._held_by_key:
--- a/basilwall/standin/record_searcher.py
+++ b/basilwall/standin/record_searcher.py
@@ -10,6 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -40,6 +41,7 @@
     UNFRAMED = 'unframed'
     SILENT = 'silent'
     UNAVAILABLE = 'unavailable'
+    CRASH = 'crash'
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +90,8 @@
 
     def stop(self) -> None:
         """Stop listening and cut all connections."""
-        self._listener.shutdown(socket.SHUT_RDWR)
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for connection in tuple(self._connections):
             _reset(connection)
@@ -147,6 +150,9 @@
             connection.recv(1)
             self.left += 1
             return False
+        if conduct is Conduct.CRASH:
+            self.stop()
+            return False
         if conduct is Conduct.RESET:
             _reset(connection)
             return False
@@ -207,9 +213,12 @@
     digest: bytes,
     size: int | None,
 ) -> bytes:
-    lines = [f'HTTP/1.1 {status} X'.encode(), b'Server-Stamp: ' + digest]
+    lines = [
+        f'HTTP/1.1 {status} X'.encode(),
+        b''.join((b'Server-Stamp: ', digest)),
+    ]
     if request_id:
-        lines.append(b'Request-Id: ' + request_id)
+        lines.append(b''.join((b'Request-Id: ', request_id)))
     if size is None:
         lines.append(b'Connection: close')
     else:
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -171,7 +171,7 @@
         stack.callback(pools.close)
         suspects = Suspects(
             core.quarantine,
-            Bystanders(core.state, core.clock, source),
+            Bystanders(core.state.searchers, core.clock, source),
             tasks,
             core.clock,
             core.membership.own.incarnation,
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import logging
 import socket
 import time
 from dataclasses import dataclass, field
@@ -115,6 +116,20 @@
         key = f'servers/{searcher_id}'
         return self.store.put(key, json.dumps(entry).encode())
 
+    def verdicts(self, raw):
+        """Return the verdicts that the VM logs while it serves a request."""
+        logged = []
+        handler = logging.Handler()
+        handler.emit = logged.append
+        log = logging.getLogger('basilwall.forwarding.forwarder')
+        log.addHandler(handler)
+        log.setLevel(logging.INFO)
+        try:
+            ask(self.caller, raw)
+        finally:
+            log.removeHandler(handler)
+        return [one.verdict for one in logged if hasattr(one, 'verdict')]
+
     def seen(self, service):
         """Return all requests that ran at the searchers of a service."""
         return [
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -1,5 +1,6 @@
 """One entry VM on the platform's stand-ins, from callers to searchers."""
 
+import threading
 import time
 
 import pytest
@@ -322,3 +323,60 @@
         assert status_of(read_to_end(connection)) == 408
     took = time.monotonic() - began
     assert took < LIMITS['header_timeout_ms'] / 1000 + 1
+
+
+def test_a_content_that_crashes_searchers_is_refused_in_the_end(tmp_path):
+    with staged(tmp_path) as stage:
+        for searcher in stage.searcher_by_id.values():
+            searcher.conduct = Conduct.CRASH
+        statuses = []
+        for number in range(40):
+            raw = request('/one/crash', request_id=f'id-{number}')
+            statuses.append(status_of(ask(stage.caller, raw)))
+            time.sleep(0.05)
+        assert len(stage.seen('single')) <= 2
+        raw = request('/one/crash', request_id='again')
+        assert 'quarantined' in stage.verdicts(raw)
+        raw = request('/one/other', request_id='other')
+        assert 'quarantined' not in stage.verdicts(raw)
+
+
+def test_a_planned_stop_cuts_off_nothing(tmp_path):
+    with staged(tmp_path) as stage:
+        for searcher in stage.searcher_by_id.values():
+            searcher.work = 0.05
+        outcomes = []
+        stopping = threading.Event()
+        callers = [
+            threading.Thread(
+                target=call_on_new_connections,
+                args=(stage, number, outcomes, stopping),
+            )
+            for number in range(8)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        stopped = threading.Thread(target=stage.vm.stop)
+        stopped.start()
+        wait_until(lambda: status_of(ask(stage.ready, READY)) == 503)
+        time.sleep(2.5)
+        stopping.set()
+        for thread in (*callers, stopped):
+            thread.join()
+        assert len(outcomes) > 100
+        assert set(outcomes) == {200}
+
+
+READY = request('/v1/readiness')
+
+
+def call_on_new_connections(stage, number, outcomes, stopping):
+    count = 0
+    while not stopping.is_set():
+        count += 1
+        raw = request('/one/a', request_id=f'id-{number}-{count}')
+        try:
+            outcomes.append(status_of(ask(stage.caller, raw)))
+        except OSError as error:
+            outcomes.append(repr(error))
