Explain requests afterwards: trails in logs, metrics as text, reloads

Cause: a complaint names a request id, and what was logged of a request did not say which searcher it waited for, nor how old the list of searchers was.

One line a request with the trail of whatever did not simply succeed, written by a thread of its own from a bounded queue; counters and histograms through prometheus_client; settings read again when their file changes.

--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -19,6 +19,8 @@
 from basilwall.operators.asking import StatusError, ask_status, read_status
 from basilwall.operators.logs import set_up_logs
 from basilwall.operators.table import print_status
+from basilwall.platform.node import read_node_file
+from basilwall.settings.current import SettingsError
 from basilwall.settings.model import load_settings
 from basilwall.standin.commands import standin_app
 from basilwall.standin.demo import demo_vm, run_demo
@@ -30,6 +32,8 @@
 app.add_typer(standin_app, name='standin', help='Run stand-ins.')
 app.command('load')(load_command)
 
+#: What makes a file one that can't be used.
+FILE_ERRORS = (CheckError, SettingsError, OSError, UnicodeDecodeError)
 FileArgument = Annotated[Path, typer.Argument(metavar='FILE')]
 
 
@@ -58,6 +62,15 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def entry() -> None:
+    """Run an entry VM on the users' platform until SIGTERM."""
+    # Imported here: this program does without most of the others' libraries.
+    from basilwall import entry as program
+
+    program.main()
+
+
 @app.command()
 def demo(
     stay: Annotated[bool, typer.Option(help='Go on until SIGTERM.')] = False,
@@ -108,6 +121,12 @@
     _check(path, lambda: load_settings(path))
 
 
+@check_app.command('node')
+def check_node(path: FileArgument) -> None:
+    """Check the settings that the users' platform wrote for a VM."""
+    _check(path, lambda: read_node_file(path))
+
+
 @check_app.command('document')
 def check_document(path: FileArgument) -> None:
     """Check the document of a service."""
@@ -117,7 +136,7 @@
 def _check(path: Path, check: Callable[[], object]) -> None:
     try:
         check()
-    except (CheckError, OSError, UnicodeDecodeError) as error:
+    except FILE_ERRORS as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
     typer.echo(f'{path}: good')
--- a/basilwall/configuration/watching.py
+++ b/basilwall/configuration/watching.py
@@ -104,7 +104,8 @@
             reply = self._reader.watch(self._after)
         except PlatformError as error:
             health.failures += 1
-            _log.warning('platform not read', extra={'error': str(error)})
+            if health.failures == 1:
+                _log.warning('platform not read', extra={'error': str(error)})
             return False
         self._take(reply)
         if health.failures:
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -18,6 +18,7 @@
 
 from basilwall.backend.bystanders import Bystanders
 from basilwall.configuration.watching import PlatformWatch
+from basilwall.fleet.known import Fleet
 from basilwall.fleet.links import FleetLinks
 from basilwall.fleet.messages import Tellings
 from basilwall.forwarding.crashes import CrashWatch
@@ -25,29 +26,30 @@
 from basilwall.forwarding.leftovers import Leftovers
 from basilwall.forwarding.policy import Policy
 from basilwall.forwarding.pools import Pools
-from basilwall.forwarding.run import Senders
+from basilwall.forwarding.reporting import Reporting
+from basilwall.forwarding.senders import Senders
 from basilwall.ingress.server import Ingress, StopState, ingress_server
 from basilwall.operators.log_queue import logging_to_stdout
 from basilwall.operators.pages import page_server
+from basilwall.operators.text_metrics import TextMetrics
 from basilwall.parts.clock import BootClock, Clock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.quarantine import Quarantine
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.parts.tasks import TaskGroup, task_group
 from basilwall.platform.codec import HeaderCodec, StoreValues
-from basilwall.platform.node import NodeFileError, read_node_file, settings_path
+from basilwall.platform.node import read_node_file, settings_path
 from basilwall.platform.store import HttpStore
 from basilwall.records.ids import Incarnation
 from basilwall.records.routes import CallerLimits
 from basilwall.routing.deployment import LAPSE, Deployment
 from basilwall.routing.place import RoundTrips
+from basilwall.settings.current import CurrentSettings, SettingsError
 from basilwall.settings.entry import EntrySettings
 
 #: Time between two watches that returned changes, in seconds: changes come in
 #: groups, and each call to the store is paid for.
 STORE_GAP = 0.3
-#: VMs that share caps and budgets at least, until others were heard of.
-LEAST_FLEET = 8
 #: Memory of one caller's connection at its worst, in MB.
 CONNECTION_MB = 0.3
 #: Descriptors kept for anything but connections.
@@ -67,26 +69,11 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Fleet:
-    """The other VMs, and what they know together."""
-
-    membership: Membership
-    quarantine: Quarantine
-    links: FleetLinks
-    tasks: TaskGroup
-
-    def size(self) -> int:
-        """Return how many VMs share caps and budgets, rather too many."""
-        known = len(self.membership.peers()) + 1
-        return max(known, LEAST_FLEET)
-
-
 @dataclass(frozen=True, slots=True)
 class EntryVm:
     """One running entry VM and its planned stop."""
 
-    settings: EntrySettings
+    settings: CurrentSettings
     deployment: Deployment
     ingress: Ingress
     fleet: Fleet
@@ -99,7 +86,7 @@
             False if a connection was cut off at the limit.
         """
         began_at = self.clock.monotonic()
-        limit = self.settings.bounds.stop_limit - LAST_ANSWERS
+        limit = self.settings.value.bounds.stop_limit - LAST_ANSWERS
         state = self.ingress.stop
         state.is_stopping = True
         self.fleet.membership.leave()
@@ -122,11 +109,11 @@
 
 
 @contextmanager
-def running_entry(settings: EntrySettings) -> Iterator[EntryVm]:
+def running_entry(current: CurrentSettings) -> Iterator[EntryVm]:
     """Run an entry VM for the length of a block.
 
     Args:
-        settings: What the platform says of this VM.
+        current: What the platform says of this VM.
 
     Yields:
         The running VM.
@@ -134,6 +121,7 @@
     Raises:
         OSError: If an address can't be bound.
     """
+    settings = current.value
     clock, source = BootClock(), random.Random()
     deployment = Deployment(StoreValues(), clock)
     register = RevisionRegister(deployment.accept)
@@ -148,7 +136,16 @@
     with ExitStack() as stack:
         tasks = stack.enter_context(task_group('task'))
         fleet = _fleet(settings, tasks, clock, source)
-        ingress = _ingress(settings, deployment, fleet, clock, source)
+        metrics = TextMetrics()
+        reporting = Reporting(
+            metrics,
+            clock.monotonic,
+            partial(_store_age, watch, clock),
+        )
+        ingress = _ingress(current, deployment, fleet, reporting, source)
+        _show(metrics, ingress, fleet, watch)
+        pages = page_server(settings.metrics_address, metrics.page)
+        stack.enter_context(pages)
         tasks.start(fleet.links.run)
         peers = page_server(settings.peer_address, fleet.links.answer)
         stack.enter_context(peers)
@@ -159,7 +156,7 @@
             ingress_server(ingress, settings.caller_address, tasks),
         )
         stack.callback(tasks.stopping.set)
-        yield EntryVm(settings, deployment, ingress, fleet, clock)
+        yield EntryVm(current, deployment, ingress, fleet, clock)
 
 
 def main() -> None:
@@ -172,17 +169,17 @@
     sys.setswitchinterval(SWITCH_SECONDS)
     with logging_to_stdout('INFO'):
         try:
-            settings = read_node_file(settings_path())
-            _serve(settings, stopping)
-        except (NodeFileError, OSError) as error:
+            current = CurrentSettings(settings_path(), read_node_file)
+            _serve(current, stopping)
+        except (SettingsError, OSError) as error:
             _log.critical('not started', extra={'error': str(error)})
             sys.exit(1)
 
 
-def _serve(settings: EntrySettings, stopping: threading.Event) -> None:
-    with running_entry(settings) as vm:
+def _serve(current: CurrentSettings, stopping: threading.Event) -> None:
+    with running_entry(current) as vm:
         gc.freeze()
-        _log.info('started', extra={'vm': settings.name})
+        _log.info('started', extra={'vm': current.value.name})
         stopping.wait()
         vm.stop()
 
@@ -219,13 +216,13 @@
 
 
 def _ingress(
-    settings: EntrySettings,
+    current: CurrentSettings,
     deployment: Deployment,
     fleet: Fleet,
-    clock: Clock,
+    reporting: Reporting,
     source: random.Random,
 ) -> Ingress:
-    tasks = fleet.tasks
+    settings, clock, tasks = current.value, BootClock(), fleet.tasks
     codec = HeaderCodec()
     pools = Pools(
         deployment,
@@ -236,7 +233,7 @@
     )
     deployment.subscribe(pools.follow)
     leftovers = Leftovers(pools, clock)
-    policy = Policy(settings.bounds, fleet.size)
+    policy = Policy(lambda: current.value.bounds, fleet.size)
     senders = Senders(
         deployment,
         pools,
@@ -247,9 +244,9 @@
         clock,
     )
     tasks.start(partial(leftovers.run, tasks.stopping))
-    tasks.start(partial(_keep_house, pools, policy, tasks.stopping))
+    tasks.start(partial(_keep_house, pools, policy, current, fleet))
     return Ingress(
-        Forwarder(senders, source),
+        Forwarder(senders, reporting, source),
         codec,
         partial(_limits, deployment),
         clock,
@@ -280,6 +277,34 @@
     return HTTP_OK, b'ready\n'
 
 
+def _store_age(watch: PlatformWatch, clock: Clock) -> float | None:
+    """Return how long ago the store was read, in seconds."""
+    read_at = watch.health.last_read_at
+    return None if read_at is None else clock.monotonic() - read_at
+
+
+def _show(
+    metrics: TextMetrics,
+    ingress: Ingress,
+    fleet: Fleet,
+    watch: PlatformWatch,
+) -> None:
+    connections = ingress.connections
+    show = metrics.gauge
+    show('callers', 'Open connections of callers.', lambda: len(connections))
+    show('fleet', 'VMs that caps are shared by.', fleet.size)
+    show(
+        'store_failures',
+        'Failed reads of the store in a row.',
+        lambda: watch.health.failures,
+    )
+    show(
+        'store_calls',
+        'Calls to the store since the start.',
+        lambda: watch.health.calls,
+    )
+
+
 def _doubt(watch: PlatformWatch, clock: Clock) -> float:
     """Return until when removals are in doubt, in monotonic seconds."""
     if watch.health.failures:
@@ -290,10 +315,13 @@
 def _keep_house(
     pools: Pools,
     policy: Policy,
-    stopping: threading.Event,
+    current: CurrentSettings,
+    fleet: Fleet,
 ) -> None:
-    while not stopping.wait(HOUSEKEEPING_SECONDS):
+    while not fleet.tasks.stopping.wait(HOUSEKEEPING_SECONDS):
         pools.close_idle()
+        if current.look():
+            fleet.membership.reseed(current.value.seeds)
         policy.follow_fleet()
 
 
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -1,6 +1,5 @@
 """From a caller's request to its final answer."""
 
-import logging
 import random
 import socket
 from collections.abc import Iterator, Sequence
@@ -8,7 +7,9 @@
 
 from basilwall.forwarding.leg import Leg
 from basilwall.forwarding.merging import merge
-from basilwall.forwarding.run import Run, Senders
+from basilwall.forwarding.reporting import Reporting, Trail
+from basilwall.forwarding.run import Run
+from basilwall.forwarding.senders import Senders
 from basilwall.forwarding.settling import (
     Settling,
     ShardSettling,
@@ -18,7 +19,7 @@
 from basilwall.forwarding.waiting import CallerLeftError, Waiter
 from basilwall.records.forwarding import Answer, Call, Reply, Unsent, Verdict
 from basilwall.records.ids import ServiceName
-from basilwall.records.routes import Route, RouteTable, Scattering
+from basilwall.records.routes import Route, Scattering
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -27,7 +28,6 @@
 HTTP_GATEWAY_TIMEOUT = 504
 #: Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-MILLISECONDS = 1000
 #: When to come back while nothing can be served, in seconds, each spread.
 COME_BACK_NO_TABLE = 1.0
 COME_BACK_NO_SEARCHER = 0.8
@@ -35,14 +35,18 @@
 LEAST_SPREAD = 0.7
 MOST_SPREAD = 1.3
 
-_log = logging.getLogger(__name__)
-
 
 class Forwarder:
     """Serves requests by the route table in force."""
 
-    def __init__(self, senders: Senders, source: random.Random) -> None:
+    def __init__(
+        self,
+        senders: Senders,
+        reporting: Reporting,
+        source: random.Random,
+    ) -> None:
         self._senders = senders
+        self._reporting = reporting
         self._source = source
 
     def serve(self, call: Call, caller: socket.socket) -> Answer:
@@ -56,23 +60,27 @@
             The answer; that of a caller who left is not sent.
         """
         table = self._senders.deployment.table
+        route = table.find(call.host, call.path) if table else None
+        trail = Trail()
         if table is None:
-            return self._refusal(Verdict.NO_TABLE, COME_BACK_NO_TABLE)
-        route = table.find(call.host, call.path)
-        if route is None:
+            answer = self._refusal(Verdict.NO_TABLE, COME_BACK_NO_TABLE)
+        elif route is None:
             answer = Answer(Verdict.NO_ROUTE, HTTP_NOT_FOUND)
-            _log_answer(call, None, table, answer, None, self._now())
-            return answer
-        waiter = Waiter(caller)
-        run = Run(call, route, self._legs(route), self._senders, waiter)
-        answer = self._answer(call, route, run)
-        _log_answer(call, route, table, answer, run, self._now())
+        else:
+            answer = self._forward(call, route, caller, trail)
+        self._reporting.ended(call, route, table, answer, trail)
         return answer
 
-    def _now(self) -> float:
-        return self._senders.clock.monotonic()
-
-    def _answer(self, call: Call, route: Route, run: Run) -> Answer:
+    def _forward(
+        self,
+        call: Call,
+        route: Route,
+        caller: socket.socket,
+        trail: Trail,
+    ) -> Answer:
+        waiter = Waiter(caller)
+        legs = self._legs(route)
+        run = Run(call, route, legs, self._senders, waiter, trail)
         scattering = route.scattering
         refusal = self._refuse_quarantined(call)
         refusal = refusal or self._refuse_hopeless(run.legs, scattering)
@@ -213,27 +221,3 @@
         reply.reason,
         reply.headers,
     )
-
-
-def _log_answer(
-    call: Call,
-    route: Route | None,
-    table: RouteTable,
-    answer: Answer,
-    run: Run | None,
-    now: float,
-) -> None:
-    _log.info(
-        'request ended',
-        extra={
-            'request': call.request_id.decode('latin-1'),
-            'route': route.name if route else None,
-            'table': table.version,
-            'verdict': answer.verdict.value,
-            'status': answer.status,
-            'ms': int((now - call.received_at) * MILLISECONDS),
-            'attempts': run.attempts if run else 0,
-            'hedges': run.hedges if run else 0,
-            'missing': answer.missing,
-        },
-    )
--- a/basilwall/forwarding/policy.py
+++ b/basilwall/forwarding/policy.py
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        bounds: Bounds,
+        bounds: Callable[[], Bounds],
         fleet_size: Callable[[], int],
     ) -> None:
         self._bounds = bounds
@@ -61,14 +61,14 @@
             if found is None:
                 if len(self._budget_by_service) >= MAX_ENTRIES:
                     self._budget_by_service.clear()
-                ratio = self._bounds.extra_ratio * USED_OF_BUDGET
+                ratio = self._bounds().extra_ratio * USED_OF_BUDGET
                 found = RetryBudget(ratio, self._slack)
                 self._budget_by_service[service] = found
         return found
 
     def follow_fleet(self) -> None:
         """Divide the slack by the VMs that are known now."""
-        slack = self._bounds.extra_slack * USED_OF_BUDGET
+        slack = self._bounds().extra_slack * USED_OF_BUDGET
         with self._lock:
             self._slack = slack / self._fleet_size()
             for budget in self._budget_by_service.values():
--- /dev/null
+++ b/basilwall/forwarding/reporting.py
@@ -0,0 +1,125 @@
+"""Says how each request ended: one log line, counters and a histogram.
+
+The line of a request that went as usual is short. One that was hedged, sent
+again or not served carries its trail: each attempt that did not simply
+succeed, with its searcher, its result and its time.
+"""
+
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from basilwall.records.forwarding import Answer, Call
+from basilwall.records.ids import RouteName, SearcherId, ServiceName
+from basilwall.records.routes import Route, RouteTable
+
+MILLISECONDS = 1000
+#: Steps of a trail that are logged; a request rarely has more.
+MAX_STEPS = 24
+NO_ROUTE = RouteName('')
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One thing that happened to a request, `after` seconds since it came."""
+
+    after: float
+    service: ServiceName
+    searcher: SearcherId
+    what: str
+
+    def __str__(self) -> str:
+        """Return the step as it stands in a log line."""
+        after = int(self.after * MILLISECONDS)
+        return f'{after}ms {self.service} {self.searcher} {self.what}'
+
+
+class Trail:
+    """The steps of one request; those beyond the highest number are counted."""
+
+    def __init__(self) -> None:
+        self.steps: list[Step] = []
+        self.attempts = 0
+        self.hedges = 0
+        self.left_out = 0
+
+    def add(self, step: Step) -> None:
+        """Add a step."""
+        if len(self.steps) < MAX_STEPS:
+            self.steps.append(step)
+        else:
+            self.left_out += 1
+
+
+class RequestMetrics(ABC):
+    """Counts requests; met by a library for metrics."""
+
+    @abstractmethod
+    def observe(
+        self,
+        route: RouteName,
+        answer: Answer,
+        seconds: float,
+        trail: Trail,
+    ) -> None:
+        """Count one request that ended after `seconds`."""
+
+
+class Reporting:
+    """Reports each request once, at its end."""
+
+    def __init__(
+        self,
+        metrics: RequestMetrics,
+        now: Callable[[], float],
+        store_age: Callable[[], float | None],
+    ) -> None:
+        self._metrics = metrics
+        self._now = now
+        self._store_age = store_age
+
+    def ended(
+        self,
+        call: Call,
+        route: Route | None,
+        table: RouteTable | None,
+        answer: Answer,
+        trail: Trail,
+    ) -> None:
+        """Report how a request ended.
+
+        Args:
+            call: The request.
+            route: Its route, if there is one.
+            table: The table that it was served by.
+            answer: Its final answer.
+            trail: What happened to it.
+        """
+        name = route.name if route else NO_ROUTE
+        seconds = self._now() - call.received_at
+        self._metrics.observe(name, answer, seconds, trail)
+        fields: dict[str, object] = {
+            'request': call.request_id.decode('latin-1'),
+            'route': name,
+            'table': table.version if table else None,
+            'verdict': answer.verdict.value,
+            'status': answer.status,
+            'ms': int(seconds * MILLISECONDS),
+            'attempts': trail.attempts,
+        }
+        if trail.steps:
+            fields |= self._details(answer, trail)
+        _log.info('request ended', extra=fields)
+
+    def _details(self, answer: Answer, trail: Trail) -> dict[str, object]:
+        age = self._store_age()
+        return {
+            'hedges': trail.hedges,
+            'missing': answer.missing,
+            'trail': [str(step) for step in trail.steps],
+            'trail_left_out': trail.left_out,
+            'store_read_s_ago': None if age is None else round(age, 1),
+        }
--- a/basilwall/forwarding/rules.py
+++ b/basilwall/forwarding/rules.py
@@ -77,6 +77,14 @@
     return RULES_BY_REPEAT[repeat][kind_of(outcome)]
 
 
+def describe(outcome: AttemptResult) -> str:
+    """Return a result in a few words, for logs."""
+    kind = kind_of(outcome).value
+    if isinstance(outcome, Reply):
+        return f'{kind} with {outcome.status}'
+    return f'{kind}: {outcome.reason.value} {outcome.detail}'.rstrip()
+
+
 def _kind_of_reply(reply: Reply) -> Kind:
     if reply.is_success:
         return Kind.SUCCESS
--- a/basilwall/forwarding/run.py
+++ b/basilwall/forwarding/run.py
@@ -6,46 +6,29 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
-from basilwall.forwarding.codec import AttemptCodec
-from basilwall.forwarding.crashes import CrashWatch
 from basilwall.forwarding.exchange import Exchange
-from basilwall.forwarding.leftovers import Leftovers
 from basilwall.forwarding.leg import Leg
-from basilwall.forwarding.policy import Policy
-from basilwall.forwarding.pools import Pools
-from basilwall.forwarding.rules import Blame, rule_of
+from basilwall.forwarding.reporting import Step, Trail
+from basilwall.forwarding.rules import describe, rule_of
+from basilwall.forwarding.senders import Senders, note_result
 from basilwall.forwarding.settling import Settling
 from basilwall.forwarding.waiting import Waiter
-from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import (
     AttemptResult,
     Call,
     LossReason,
     Reply,
 )
+from basilwall.records.ids import SearcherId
 from basilwall.records.routes import Repeat, Route
-from basilwall.routing.deployment import Deployment
 from basilwall.routing.standing import Standing
 
 #: Searchers of one service that may be passed over, nothing sent to them.
 MAX_PASSED_OVER = 8
 #: Nothing is sent that has less time than this, in seconds.
 LEAST_TIME = 0.005
-
-
-@dataclass(frozen=True, slots=True)
-class Senders:
-    """What every run sends with."""
-
-    deployment: Deployment
-    pools: Pools
-    policy: Policy
-    leftovers: Leftovers
-    crashes: CrashWatch
-    codec: AttemptCodec
-    clock: Clock
+NOBODY = SearcherId('')
 
 
 class Run:
@@ -58,10 +41,10 @@
         legs: Sequence[Leg],
         senders: Senders,
         waiter: Waiter,
+        trail: Trail,
     ) -> None:
         self.legs = legs
-        self.attempts = 0
-        self.hedges = 0
+        self._trail = trail
         self._call = call
         self._route = route
         self._senders = senders
@@ -89,7 +72,8 @@
             self._send_or_end(leg)
         while not settling.is_settled(self.legs, self._clock.monotonic()):
             now = self._clock.monotonic()
-            wake_at = min(settling.looks_at(now), self._next_hedge_at())
+            hedges = [one.hedge_at for one in self.legs if one.is_open]
+            wake_at = min(settling.looks_at(now), *hedges)
             for exchange, outcome in self._waiter.wait(wake_at - now):
                 self._take(exchange, outcome)
             self._hedge_late(self._clock.monotonic())
@@ -121,7 +105,7 @@
             self._clock,
             self._deadline,
         )
-        self.attempts += 1
+        self._trail.attempts += 1
         leg.sent_to.add(searcher.searcher_id)
         leg.number_by_exchange[exchange] = standing.sent()
         leg.hedge_at = self._hedge_time(standing)
@@ -147,25 +131,35 @@
         late_after = self._hedge.delay + standing.trip
         return self._clock.monotonic() + late_after
 
-    def _next_hedge_at(self) -> float:
-        times = (leg.hedge_at for leg in self.legs if leg.is_open)
-        return min(times, default=self._deadline)
-
     def _hedge_late(self, now: float) -> None:
         late = [leg for leg in self.legs if leg.is_open and leg.hedge_at <= now]
         for leg in late:
             leg.hedge_at = self._deadline
             if len(leg.sent_to) >= self._route.attempts:
                 continue
-            budget = self._senders.policy.budget(leg.service)
-            if budget.spend(keeps_reserve=True) and self._send(leg):
-                self.hedges += 1
+            self._hedge_leg(leg)
+
+    def _hedge_leg(self, leg: Leg) -> None:
+        late = next(iter(leg.number_by_exchange), None)
+        searcher = late.searcher if late else NOBODY
+        budget = self._senders.policy.budget(leg.service)
+        has_budget = budget.spend(keeps_reserve=True)
+        if has_budget and self._send(leg):
+            self._trail.hedges += 1
+            self._step(leg, searcher, 'late, hedged')
+            return
+        lacking = 'other searcher' if has_budget else 'budget'
+        self._step(leg, searcher, f'late, no {lacking} for a hedge')
+
+    def _step(self, leg: Leg, searcher: SearcherId, what: str) -> None:
+        after = self._clock.monotonic() - self._call.received_at
+        self._trail.add(Step(after, leg.service, searcher, what))
 
     def _take(self, exchange: Exchange, outcome: AttemptResult) -> None:
         leg = self._leg_by_exchange[exchange]
         searcher = exchange.connection.searcher
         self._senders.crashes.saw(self._call, searcher, outcome)
-        self._note(exchange, outcome)
+        note_result(self._senders, self._hedge, exchange, outcome)
         self._release(exchange, leg, has_ended=True)
         if leg.has_ended:
             return
@@ -175,6 +169,7 @@
             self._succeed(leg, outcome)
             return
         leg.note_failure(outcome)
+        self._step(leg, outcome.searcher, describe(outcome))
         if not rule.may_repeat:
             leg.has_ended = True
         elif not leg.number_by_exchange:
@@ -195,20 +190,6 @@
         for exchange in tuple(leg.number_by_exchange):
             self._release(exchange, leg)
 
-    def _note(self, exchange: Exchange, outcome: AttemptResult) -> None:
-        """Keep what a result says of its searcher."""
-        pools = self._senders.pools
-        standing = pools.standing(exchange.connection.searcher)
-        blame = rule_of(Repeat.IDEMPOTENT, outcome).blame
-        if blame is Blame.NO_ROOM:
-            standing.refused()
-        elif blame is Blame.FAULTY:
-            standing.failed()
-        elif isinstance(outcome, Reply):
-            seconds = self._clock.monotonic() - exchange.sent_at
-            standing.replied(seconds)
-            self._hedge.observe(max(seconds - standing.trip, 0))
-
     def _release(
         self,
         exchange: Exchange,
--- /dev/null
+++ b/basilwall/operators/text_metrics.py
@@ -0,0 +1,106 @@
+"""Counters and histograms as text, for the platform's own collector."""
+
+import threading
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from basilwall.forwarding.reporting import RequestMetrics, Trail
+from basilwall.records.forwarding import Answer
+from basilwall.records.ids import RouteName
+
+HTTP_OK = 200
+#: Routes counted by name; further ones are counted together.
+MAX_ROUTES = 48
+OTHER_ROUTES = RouteName('other')
+#: Upper bounds of the latency buckets, in seconds.
+BUCKETS = (
+    0.01,
+    0.025,
+    0.05,
+    0.075,
+    0.1,
+    0.125,
+    0.15,
+    0.2,
+    0.3,
+    0.5,
+    0.8,
+    1.5,
+    3,
+    8,
+)
+
+
+class TextMetrics(RequestMetrics):
+    """All numbers of an entry VM."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            'basilwall_requests',
+            'Requests by route and by how they ended.',
+            ['route', 'verdict'],
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            'basilwall_request_seconds',
+            'Time from the head of a request to its answer.',
+            ['route'],
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._attempts = Counter(
+            'basilwall_attempts',
+            'Attempts sent to searchers, and hedges among them.',
+            ['kind'],
+            registry=self._registry,
+        )
+        self._missing = Counter(
+            'basilwall_missing_shards',
+            'Shards that answers left out.',
+            ['route'],
+            registry=self._registry,
+        )
+        self._routes: set[RouteName] = set()
+        self._lock = threading.Lock()
+
+    def observe(
+        self,
+        route: RouteName,
+        answer: Answer,
+        seconds: float,
+        trail: Trail,
+    ) -> None:
+        """Count one request."""
+        name = self._counted_name(route)
+        self._requests.labels(name, answer.verdict.value).inc()
+        self._seconds.labels(name).observe(seconds)
+        self._attempts.labels('all').inc(trail.attempts)
+        self._attempts.labels('hedge').inc(trail.hedges)
+        if answer.missing:
+            self._missing.labels(name).inc(answer.missing)
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show a number that is read whenever the page is asked for."""
+        gauge = Gauge(f'basilwall_{name}', text, registry=self._registry)
+        gauge.set_function(read)
+
+    def page(self, _: bytes) -> tuple[int, bytes]:
+        """Return status and text of the metrics page."""
+        return HTTP_OK, generate_latest(self._registry)
+
+    def _counted_name(self, route: RouteName) -> RouteName:
+        if route in self._routes:
+            return route
+        with self._lock:
+            if len(self._routes) >= MAX_ROUTES:
+                return OTHER_ROUTES
+            self._routes.add(route)
+        return route
--- a/basilwall/parts/membership.py
+++ b/basilwall/parts/membership.py
@@ -62,6 +62,10 @@
         """Tell others from now on that this VM is leaving."""
         self.own = replace(self.own, leaving=True)
 
+    def reseed(self, seeds: Collection[VmAddress]) -> None:
+        """Ask these first from now on."""
+        self._seeds = frozenset(seeds) - {self.own.address}
+
     def listed(self, addresses: Collection[VmAddress]) -> None:
         """Take in the live VMs of the fleet list."""
         self._listed = frozenset(addresses) - {self.own.address}
--- a/basilwall/platform/node.py
+++ b/basilwall/platform/node.py
@@ -12,6 +12,7 @@
 from basilwall.records.ids import Region, VmAddress, Zone
 from basilwall.routing.bounds import Bounds
 from basilwall.routing.place import Place
+from basilwall.settings.current import SettingsError
 from basilwall.settings.entry import EntrySettings
 
 PATH_VARIABLE = 'BASILWALL_NODE_FILE'
@@ -21,10 +22,6 @@
 METRICS_PORT = 9464
 
 
-class NodeFileError(Exception):
-    """The settings file can't be used; says what is wrong with it."""
-
-
 class _Listen(msgspec.Struct):
     # Where callers connect.
     front: str
@@ -82,12 +79,12 @@
         The settings in the product's words.
 
     Raises:
-        NodeFileError: If the file is missing or a needed field is not right.
+        SettingsError: If the file is missing or a needed field is not right.
     """
     try:
         node = msgspec.json.decode(path.read_bytes(), type=_Node)
     except (OSError, msgspec.MsgspecError) as error:
-        raise NodeFileError(f'{path}: {error}') from error
+        raise SettingsError(f'{path}: {error}') from error
     return EntrySettings(
         name=node.node,
         place=Place(
--- a/basilwall/routing/standing.py
+++ b/basilwall/routing/standing.py
@@ -45,6 +45,8 @@
         self.searcher = searcher
         self.trip = trip
         self.last_reply_at = -math.inf
+        #: True from a failure until the next reply.
+        self.is_failing = False
         self._clock = clock
         self._cold_until = clock.monotonic() + searcher.cold_for
         self._usual_work = FIRST_WORK
@@ -107,6 +109,7 @@
         work = max(seconds - self.trip, LEAST_WORK)
         with self._lock:
             self.last_reply_at = now
+            self.is_failing = False
             self._backoff = FIRST_BACKOFF
             self._refused_until = -math.inf
             self._work = _smoothed(self._faded_work(now), work)
@@ -116,6 +119,7 @@
     def refused(self) -> None:
         """Take in that it accepted no connection or had no room."""
         now = self._clock.monotonic()
+        self.is_failing = True
         with self._lock:
             if now < self._refused_until:
                 return
@@ -124,6 +128,7 @@
 
     def failed(self) -> None:
         """Take in that it broke off a reply or answered with a failure."""
+        self.is_failing = True
         self._stuck_since = self._clock.monotonic()
 
     def _faded_work(self, now: float) -> float:
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -10,6 +10,7 @@
 
 from basilwall.entry import EntryVm, running_entry
 from basilwall.platform.node import read_node_file
+from basilwall.settings.current import CurrentSettings
 from basilwall.standin.metadata_store import MetadataStore
 from basilwall.standin.ports import reserved_ports
 from basilwall.standin.record_searcher import RecordSearcher
@@ -121,7 +122,7 @@
         logged = []
         handler = logging.Handler()
         handler.emit = logged.append
-        log = logging.getLogger('basilwall.forwarding.forwarder')
+        log = logging.getLogger('basilwall.forwarding.reporting')
         log.addHandler(handler)
         log.setLevel(logging.INFO)
         try:
@@ -216,8 +217,8 @@
         for number, service in enumerate(services):
             for zone in ZONES:
                 _add_searcher(stage, stack, service, zone, next(free), number)
-        settings = read_node_file(node_file)
-        stage.vm = stack.enter_context(running_entry(settings))
+        current = CurrentSettings(node_file, read_node_file)
+        stage.vm = stack.enter_context(running_entry(current))
         wait_until(lambda: _is_ready(stage))
         yield stage
 
@@ -238,10 +239,16 @@
     stage.list_searcher(name, service, zone=zone)
 
 
+def _metrics_host(ports):
+    """Return a loopback address of its own: the metrics port is fixed."""
+    number = int(ports[0].rpartition(':')[2]) // 128
+    return f'127.0.{number // 256}.{number % 256}'
+
+
 def _node_file(folder, ports):
     content = {
         'node': 'vm-1',
-        'ip': HOST,
+        'ip': _metrics_host(ports),
         'zone': 'near',
         'region': 'here',
         'zones': REGIONS,
