End a planned stop in time, and without cutting off callers

Cause, of three faults seen from outside: (a) the loop of waitress runs until its last connection ends, and nothing ended those of callers that say nothing; (b) the system resets connections that it had made and the program had not taken when the listener closed; (c) a close with unread bytes resets the connection, and the 413 with it.

Now new connections are kept out by a packet filter on the listener, those already made are taken and answered, then all are closed. After a last answer the rest of the request is read for 2 s at most. The platform's ingress ends its listener the same way.

Ruled out: a longer wait before the close, which leaves the same gap.

--- a/basilwall/caller/server.py
+++ b/basilwall/caller/server.py
@@ -1,6 +1,8 @@
 """The HTTP server towards callers."""
 
+import socket
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
@@ -12,6 +14,7 @@
 from waitress.task import WSGITask
 
 from basilwall.caller.app import CallerApp
+from basilwall.parts.listeners import refuse_new
 
 #: Threads beyond the admission cap, so that a refusal never waits.
 REFUSAL_THREADS = 8
@@ -22,6 +25,10 @@
 #: An idle connection of a caller is closed after this time.
 IDLE_SECONDS = 30
 POLL_SECONDS = 0.02
+#: How long the rest of a rejected request is read before the close.
+LINGER_SECONDS = 2.0
+#: The longest wait for answers to connections made at the very end.
+LAST_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +56,33 @@
 
 
 class _Channel(HTTPChannel):
+    """One caller's connection.
+
+    A close with unread bytes would reset it, and the answer with it, so what
+    the caller still sends is read for a while first.
+    """
+
     task_class = _Task
 
+    def __init__(self, *connection: Any, **options: Any) -> None:
+        #: When a connection that was answered is closed, monotonic; or 0.
+        self.closes_at: float = 0
+        super().__init__(*connection, **options)
+
+    def handle_close(self) -> None:
+        """Close, at first only towards the caller."""
+        if self.closes_at or not self._end_writing():
+            super().handle_close()
+
+    def readable(self) -> bool:
+        """Return whether to read; ends a connection that lingered enough."""
+        if not self.closes_at:
+            return bool(super().readable())
+        if time.monotonic() > self.closes_at:
+            self.handle_close()
+            return False
+        return True
+
     def writable(self) -> bool:
         """Return whether the server's loop has anything to write.
 
@@ -58,6 +90,8 @@
         socket writable and the reply locked, again and again, and take the
         processor from the very task that it waits for.
         """
+        if self.closes_at:
+            return False
         writing = 0 < self.total_outbufs_len < LOOP_WRITES_BYTES
         if self.requests and writing and not self.will_close:
             return False
@@ -67,6 +101,17 @@
         server: Any = self.server
         return bool(server.caller_app.is_stopping)
 
+    def _end_writing(self) -> bool:
+        """End the answers; False if the connection is gone already."""
+        connected: Any = self.socket
+        try:
+            connected.shutdown(socket.SHUT_WR)
+        except (OSError, AttributeError):
+            return False
+        self.will_close = True
+        self.closes_at = time.monotonic() + LINGER_SECONDS
+        return True
+
 
 class CallerServer:
     """A running server."""
@@ -91,6 +136,24 @@
             waiting.wait(POLL_SECONDS)
         return False
 
+    def take_last(self) -> None:
+        """Take the connections that were made, and no new ones, and answer."""
+        server: Any = self._server
+        refuse_new(server.socket)
+        waiting = threading.Event()
+        for _ in range(int(LAST_SECONDS / POLL_SECONDS)):
+            # The loop takes what waits within one of its rounds.
+            waiting.wait(POLL_SECONDS)
+            if not self._unsent():
+                break
+
+    def close(self) -> None:
+        """Close the listener and all connections, so that the loop ends."""
+        server: Any = self._server
+        server.trigger.pull_trigger(
+            lambda: server.asyncore.close_all(server._map, ignore_all=True),
+        )
+
     def _unsent(self) -> bool:
         by_descriptor: Any = self._server.active_channels
         channels = tuple(by_descriptor.values())
@@ -132,7 +195,9 @@
     server.caller_app = app
     with ThreadPoolExecutor(1, thread_name_prefix='callers') as pool:
         pool.submit(server.run)
+        running = CallerServer(server)
         try:
-            yield CallerServer(server)
+            yield running
         finally:
-            server.close()
+            running.take_last()
+            running.close()
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -19,6 +19,7 @@
     WholeRequest,
 )
 from basilwall.parts.clock import Clock
+from basilwall.parts.listeners import refuse_new
 from basilwall.parts.tasks import TaskGroup
 from basilwall.records.forwarding import Answer, Call, Verdict
 from basilwall.records.routes import CallerLimits
@@ -197,17 +198,31 @@
     stopping: threading.Event,
 ) -> None:
     while not stopping.is_set():
-        try:
-            caller, _ = listener.accept()
-        except TimeoutError:
-            continue
-        except OSError as error:
-            _log.warning('no connection taken', extra={'error': str(error)})
-            stopping.wait(ACCEPT_WAIT)
-            continue
-        if len(ingress.connections) >= ingress.max_connections:
-            _log.warning('too many connections')
-            caller.close()
-            continue
-        ingress.connections.add(caller)
-        tasks.start(partial(ingress.serve, caller))
+        _accept_one(listener, ingress, tasks)
+    refuse_new(listener)
+    listener.settimeout(0)
+    while _accept_one(listener, ingress, tasks):
+        _log.debug('took a connection made at the end')
+
+
+def _accept_one(
+    listener: socket.socket,
+    ingress: Ingress,
+    tasks: TaskGroup,
+) -> bool:
+    """Take the next connection; False if there is none now."""
+    try:
+        caller, _ = listener.accept()
+    except (TimeoutError, BlockingIOError):
+        return False
+    except OSError as error:
+        _log.warning('no connection taken', extra={'error': str(error)})
+        threading.Event().wait(ACCEPT_WAIT)
+        return False
+    if len(ingress.connections) >= ingress.max_connections:
+        _log.warning('too many connections')
+        caller.close()
+        return True
+    ingress.connections.add(caller)
+    tasks.start(partial(ingress.serve, caller))
+    return True
