--- a/basilwall/platform/node.py
+++ b/basilwall/platform/node.py
@@ -5,7 +5,9 @@
 """
 
 import os
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -82,9 +84,13 @@
         SettingsError: If the file is missing or a needed field is not right.
     """
     try:
-        node = msgspec.json.decode(path.read_bytes(), type=_Node)
-    except (OSError, msgspec.MsgspecError) as error:
+        content = msgspec.json.decode(path.read_bytes())
+    except (OSError, msgspec.MsgspecError, RecursionError) as error:
         raise SettingsError(f'{path}: {error}') from error
+    findings = list(_findings(content, _Node, ''))
+    if findings:
+        raise SettingsError('\n'.join(f'{path}: {one}' for one in findings))
+    node = msgspec.convert(content, _Node)
     return EntrySettings(
         name=node.node,
         place=Place(
@@ -104,6 +110,33 @@
     )
 
 
+def _findings(
+    content: Any,
+    struct: type[msgspec.Struct],
+    place: str,
+) -> Iterator[str]:
+    """Name every error of a table, each at its place."""
+    if not isinstance(content, dict):
+        yield f'{place or "settings"}: expected a table'
+        return
+    for known in msgspec.structs.fields(struct):
+        path = f'{place}{known.name}'
+        if known.name in content:
+            yield from _finding(content[known.name], known.type, path)
+        elif known.required:
+            yield f'{path}: required, but not given'
+
+
+def _finding(content: Any, wanted: Any, path: str) -> Iterator[str]:
+    if isinstance(wanted, type) and issubclass(wanted, msgspec.Struct):
+        yield from _findings(content, wanted, f'{path}.')
+        return
+    try:
+        msgspec.convert(content, wanted)
+    except msgspec.ValidationError as error:
+        yield f'{path}: {error}'
+
+
 def _bounds(wire: _Bounds) -> Bounds:
     return Bounds(
         extra_ratio=wire.retry_budget_ratio,
--- /dev/null
+++ b/basilwall/platform/node_test.py
@@ -0,0 +1,91 @@
+"""The settings file of the platform: all errors are told at once."""
+
+import json
+
+import pytest
+
+from basilwall.platform.node import read_node_file
+from basilwall.records.ids import Region, Zone
+from basilwall.settings.current import CurrentSettings, SettingsError
+
+NODE = {
+    'node': 'vm-1',
+    'ip': '127.0.0.1',
+    'zone': 'a',
+    'zones': {'a': 'r', 'b': 's'},
+    'listen': {
+        'front': '127.0.0.1:1',
+        'ready': '127.0.0.1:2',
+        'control': '127.0.0.1:3',
+    },
+    'seed_nodes': ['127.0.0.1:3'],
+    'limits': {'memory_mb': 300, 'max_fds': 4100},
+    'bounds': {
+        'retry_budget_ratio': 0.2,
+        'budget_window_s': 10,
+        'budget_slack': 56,
+        'grace_s': 6,
+        'drain_ms': 3000,
+        'config_apply_ms': 4000,
+    },
+    'platform': {'address': '127.0.0.1:4', 'reads_per_s': 5, 'history_s': 2},
+    'not_yet_known': [1, 2],
+}
+
+
+def write(path, **changes):
+    path.write_text(json.dumps({**NODE, **changes}))
+    return path
+
+
+def test_settings_in_the_words_of_the_product(tmp_path):
+    settings = read_node_file(write(tmp_path / 'node.json'))
+    assert settings.place.zone == Zone('a')
+    assert settings.place.region_by_zone[Zone('b')] == Region('s')
+    assert settings.bounds.drain_limit == 3
+    assert settings.bounds.stop_limit == 6
+    assert settings.metrics_address == '127.0.0.1:9464'
+
+
+def test_every_error_is_named_at_once(tmp_path):
+    path = write(
+        tmp_path / 'node.json',
+        zone=5,
+        limits={'memory_mb': 'much'},
+        bounds=None,
+    )
+    with pytest.raises(SettingsError) as raised:
+        read_node_file(path)
+    lines = str(raised.value).splitlines()
+    places = [line.removeprefix(f'{path}: ').split(':')[0] for line in lines]
+    assert places == [
+        'zone',
+        'limits.memory_mb',
+        'limits.max_fds',
+        'bounds.',
+    ]
+
+
+@pytest.mark.parametrize('text', ['', '{', '[]', '3', '\x00'])
+def test_a_file_that_is_no_table_is_refused(tmp_path, text):
+    path = tmp_path / 'node.json'
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        read_node_file(path)
+
+
+def test_settings_are_read_again_only_if_they_changed_and_are_good(tmp_path):
+    path = write(tmp_path / 'node.json')
+    current = CurrentSettings(path, read_node_file)
+    assert not current.look()
+    write(path, seed_nodes=['127.0.0.1:9'])
+    assert current.look()
+    assert current.value.seeds == ('127.0.0.1:9',)
+    path.write_text('{')
+    assert not current.look()
+    path.unlink()
+    assert not current.look()
+    assert current.value.seeds == ('127.0.0.1:9',)
+    write(path, seed_nodes=[])
+    assert current.look()
+    assert not current.value.seeds
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -94,7 +94,6 @@
     NO_ROUTE = 'no_route'
     NO_TABLE = 'no_table'
     NO_SEARCHER = 'no_searcher'
-    OVERLOADED = 'overloaded'
     NOT_RUN = 'not_run'
     QUARANTINED = 'quarantined'
     TOO_FEW_SHARDS = 'too_few_shards'
