--- a/basilwall/platform/node.py
+++ b/basilwall/platform/node.py
@@ -121,8 +121,9 @@
         return
     for known in msgspec.structs.fields(struct):
         path = f'{place}{known.name}'
-        if known.name in content:
-            yield from _finding(content[known.name], known.type, path)
+        given = content.get(known.name, msgspec.UNSET)
+        if given is not msgspec.UNSET:
+            yield from _finding(given, known.type, path)
         elif known.required:
             yield f'{path}: required, but not given'
 
