Let a few VMs of a large availability zone read the store

In a zone of more than four VMs two read, chosen by rendezvous hashing; the others wait at one of them, and read themselves as soon as it is silent, is no reader, or its knowledge is older than 2.8 s. Only where the bounds leave 4.5 s.

Ruled out: spreading values by the exchange between random VMs, which can't say how old they are.

--- a/basilwall/configuration/watching.py
+++ b/basilwall/configuration/watching.py
@@ -80,6 +80,9 @@
         self._is_reader = is_reader
         self._note_read = note_read
         self._after = 0
+        #: Changes after this revision are all known here; before it, some
+        #: keys may have come and gone unseen.
+        self.whole_at = 0
         self.health = PlatformHealth()
 
     def run(self, stopping: threading.Event) -> None:
@@ -136,6 +139,7 @@
             self._register.offer(published)
         if reply.is_whole:
             self._remove_unlisted(reply)
+            self.whole_at = reply.revision
         # The cursor follows its reader, also down after a restart of it: what
         # it says again is not new to the register.
         self._after = max(reply.revision, 0)
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -19,8 +19,14 @@
 from basilwall.backend.bystanders import Bystanders
 from basilwall.configuration.watching import PlatformWatch
 from basilwall.fleet.known import Fleet
-from basilwall.fleet.links import FleetLinks
+from basilwall.fleet.links import EXCHANGE, FleetLinks
 from basilwall.fleet.messages import Tellings
+from basilwall.fleet.relaying import (
+    CHANGES,
+    ChangeServer,
+    RelayedReader,
+    StoreKnowledge,
+)
 from basilwall.forwarding.crashes import CrashWatch
 from basilwall.forwarding.forwarder import Forwarder
 from basilwall.forwarding.leftovers import Leftovers
@@ -30,7 +36,7 @@
 from basilwall.forwarding.senders import Senders
 from basilwall.ingress.server import Ingress, StopState, ingress_server
 from basilwall.operators.log_queue import logging_to_stdout
-from basilwall.operators.pages import page_server
+from basilwall.operators.pages import ANY_PATH, page_server
 from basilwall.operators.text_metrics import TextMetrics
 from basilwall.parts.clock import BootClock, Clock
 from basilwall.parts.membership import Member, Membership
@@ -42,7 +48,7 @@
 from basilwall.platform.store import HttpStore
 from basilwall.records.ids import Incarnation
 from basilwall.records.routes import CallerLimits
-from basilwall.routing.deployment import LAPSE, Deployment
+from basilwall.routing.deployment import Deployment
 from basilwall.routing.place import RoundTrips
 from basilwall.settings.current import CurrentSettings, SettingsError
 from basilwall.settings.entry import EntrySettings
@@ -50,6 +56,13 @@
 #: Time between two watches that returned changes, in seconds: changes come in
 #: groups, and each call to the store is paid for.
 STORE_GAP = 0.3
+#: How long the store holds a watch, in seconds; shorter if other VMs rely on
+#: this one, which must notice soon that it is cut off.
+LONG_WATCH = 4.0
+SHORT_WATCH = 2.0
+#: A change that others told is in force within this time, in seconds, also if
+#: the VM that was to tell it is cut off from the store.
+RELAYED_WITHIN = 4.5
 #: Memory of one caller's connection at its worst, in MB.
 CONNECTION_MB = 0.3
 #: Descriptors kept for anything but connections.
@@ -125,33 +138,52 @@
     clock, source = BootClock(), random.Random()
     deployment = Deployment(StoreValues(), clock)
     register = RevisionRegister(deployment.accept)
-    watch = PlatformWatch(
-        HttpStore(settings.store_address),
-        register,
-        clock,
-        source,
-        least_gap=STORE_GAP,
-    )
-    deployment.doubt = partial(_doubt, watch, clock)
     with ExitStack() as stack:
         tasks = stack.enter_context(task_group('task'))
         fleet = _fleet(settings, tasks, clock, source)
+        may_ask = _may_ask(settings)
+        store = HttpStore(
+            settings.store_address,
+            SHORT_WATCH if may_ask else LONG_WATCH,
+        )
+        reader = RelayedReader(store, fleet.membership, clock, may_ask)
+        watch = PlatformWatch(
+            reader,
+            register,
+            clock,
+            source,
+            least_gap=STORE_GAP,
+        )
+        knowledge = StoreKnowledge(watch, reader, clock)
+        deployment.doubt = knowledge.doubted_until
+        changes = ChangeServer(
+            register,
+            watch,
+            knowledge,
+            clock,
+            lambda: reader.reads_itself,
+        )
+        register.subscribe(changes.note_change)
         metrics = TextMetrics()
         reporting = Reporting(
             metrics,
             clock.monotonic,
-            partial(_store_age, watch, clock),
+            knowledge.age,
         )
         ingress = _ingress(current, deployment, fleet, reporting, source)
-        _show(metrics, ingress, fleet, watch)
-        pages = page_server(settings.metrics_address, metrics.page)
-        stack.enter_context(pages)
+        _show(metrics, ingress, fleet, watch, store)
+        by_path = {ANY_PATH: metrics.page}
+        stack.enter_context(page_server(settings.metrics_address, by_path))
         tasks.start(fleet.links.run)
-        peers = page_server(settings.peer_address, fleet.links.answer)
-        stack.enter_context(peers)
+        peer_pages = {
+            EXCHANGE: fleet.links.answer,
+            CHANGES: changes.answer,
+        }
+        stack.enter_context(page_server(settings.peer_address, peer_pages))
         tasks.start(partial(watch.run, tasks.stopping))
         ready = partial(_readiness, deployment, ingress.stop)
-        stack.enter_context(page_server(settings.readiness_address, ready))
+        by_path = {ANY_PATH: ready}
+        stack.enter_context(page_server(settings.readiness_address, by_path))
         stack.enter_context(
             ingress_server(ingress, settings.caller_address, tasks),
         )
@@ -254,6 +286,12 @@
     )
 
 
+def _may_ask(settings: EntrySettings) -> bool:
+    """Return whether the bounds leave time to hear of changes from others."""
+    bounds = settings.bounds
+    return min(bounds.drain_limit, bounds.document_limit) >= RELAYED_WITHIN
+
+
 def _max_connections(settings: EntrySettings) -> int:
     by_memory = int(settings.memory_mb / 2 / CONNECTION_MB)
     by_descriptors = (settings.descriptors - SPARE_DESCRIPTORS) // 2
@@ -277,17 +315,12 @@
     return HTTP_OK, b'ready\n'
 
 
-def _store_age(watch: PlatformWatch, clock: Clock) -> float | None:
-    """Return how long ago the store was read, in seconds."""
-    read_at = watch.health.last_read_at
-    return None if read_at is None else clock.monotonic() - read_at
-
-
 def _show(
     metrics: TextMetrics,
     ingress: Ingress,
     fleet: Fleet,
     watch: PlatformWatch,
+    store: HttpStore,
 ) -> None:
     connections = ingress.connections
     show = metrics.gauge
@@ -301,17 +334,10 @@
     show(
         'store_calls',
         'Calls to the store since the start.',
-        lambda: watch.health.calls,
+        lambda: store.calls,
     )
 
 
-def _doubt(watch: PlatformWatch, clock: Clock) -> float:
-    """Return until when removals are in doubt, in monotonic seconds."""
-    if watch.health.failures:
-        return clock.monotonic() + LAPSE
-    return watch.health.returned_at + LAPSE
-
-
 def _keep_house(
     pools: Pools,
     policy: Policy,
--- a/basilwall/fleet/links.py
+++ b/basilwall/fleet/links.py
@@ -17,6 +17,8 @@
 LEAST_JITTER = 0.7
 MOST_JITTER = 1.3
 CALL_TIMEOUT = 1.0
+#: Where VMs take each other's calls.
+EXCHANGE = '/exchange'
 #: VMs that grave news goes to at once; the others hear it from these.
 PUSHED_TO = 16
 HTTP_OK = 200
@@ -96,7 +98,7 @@
 def _post(address: VmAddress, message: bytes) -> bytes:
     connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT)
     try:
-        connection.request('POST', '/exchange', message)
+        connection.request('POST', EXCHANGE, message)
         response = connection.getresponse()
         if response.status != HTTP_OK:
             raise TellingError(f'status {response.status}')
--- a/basilwall/forwarding/reporting.py
+++ b/basilwall/forwarding/reporting.py
@@ -75,7 +75,7 @@
         self,
         metrics: RequestMetrics,
         now: Callable[[], float],
-        store_age: Callable[[], float | None],
+        store_age: Callable[[], float],
     ) -> None:
         self._metrics = metrics
         self._now = now
@@ -115,11 +115,10 @@
         _log.info('request ended', extra=fields)
 
     def _details(self, answer: Answer, trail: Trail) -> dict[str, object]:
-        age = self._store_age()
         return {
             'hedges': trail.hedges,
             'missing': answer.missing,
             'trail': [str(step) for step in trail.steps],
             'trail_left_out': trail.left_out,
-            'store_read_s_ago': None if age is None else round(age, 1),
+            'store_read_s_ago': round(self._store_age(), 1),
         }
--- a/basilwall/operators/pages.py
+++ b/basilwall/operators/pages.py
@@ -5,12 +5,13 @@
 """
 
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
+HTTP_NOT_FOUND = 404
 HTTP_TOO_LARGE = 413
 POLL_SECONDS = 0.5
 
@@ -19,15 +20,18 @@
 
 #: Returns status and content of a page, for the body that was sent.
 Page = Callable[[bytes], tuple[int, bytes]]
+#: Pages by path; the one at ANY_PATH stands for all others.
+Pages = Mapping[str, Page]
+ANY_PATH = ''
 
 
 @contextmanager
-def page_server(address: str, page: Page) -> Iterator[None]:
-    """Serve one page at every path for the length of a block.
+def page_server(address: str, pages: Pages) -> Iterator[None]:
+    """Serve pages for the length of a block.
 
     Args:
         address: Where to listen, `host:port`.
-        page: Makes the page.
+        pages: What makes them.
 
     Yields:
         Nothing.
@@ -36,7 +40,7 @@
         OSError: If the address can't be bound.
     """
     host, _, port = address.rpartition(':')
-    handler: Any = partial(_PageHandler, page)
+    handler: Any = partial(_PageHandler, pages)
     server = _Server((host, int(port)), handler)
     thread = threading.Thread(
         target=server.serve_forever,
@@ -61,8 +65,8 @@
     #: A connection that says nothing for this long is closed, in seconds.
     timeout = 15
 
-    def __init__(self, page: Page, *connection: Any) -> None:
-        self._page = page
+    def __init__(self, pages: Pages, *connection: Any) -> None:
+        self._pages = pages
         super().__init__(*connection)
 
     def do_GET(self) -> None:
@@ -81,7 +85,8 @@
         """Say nothing: the pages are asked for every second."""
 
     def _answer(self, body: bytes) -> None:
-        status, content = self._page(body)
+        page = self._pages.get(self.path) or self._pages.get(ANY_PATH)
+        status, content = page(body) if page else (HTTP_NOT_FOUND, b'')
         head = (
             f'HTTP/1.1 {status} {self.responses[status][0]}\r\n'
             'Content-Type: text/plain; charset=utf-8\r\n'
--- a/basilwall/parts/membership.py
+++ b/basilwall/parts/membership.py
@@ -97,6 +97,12 @@
                 self._seeds | self._listed | self._by_address.keys(),
             )
 
+    def known(self) -> list[Member]:
+        """Return the members that were heard of, however they were."""
+        with self._lock:
+            self._forget()
+            return [one.member for one in self._by_address.values()]
+
     def alive(self) -> list[Member]:
         """Return the members heard from lately."""
         horizon = self._clock.monotonic() - ALIVE_WITHIN
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -21,8 +21,6 @@
 )
 from basilwall.records.catalogue import PublishedValue
 
-#: How long the store may hold a watch open, in milliseconds.
-WATCH_MS = 4000
 #: Added to that before the connection counts as dead, in seconds.
 GRACE = 1.0
 READ_TIMEOUT = 2.0
@@ -64,8 +62,11 @@
 class HttpStore(PlatformReader):
     """A reader of the store at one address."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, wait: float) -> None:
+        """Make a reader that has the store hold a watch for `wait` seconds."""
+        self.calls = 0
         self._address = address
+        self._wait = wait
         self._connection: http.client.HTTPConnection | None = None
 
     def watch(self, after: int) -> WatchReply:
@@ -82,8 +83,9 @@
         """
         if not after:
             return self._list_all()
-        path = f'/v1/kv-watch?prefix=&after={after}&wait_ms={WATCH_MS}'
-        status, body = self._get(path, WATCH_MS / MILLISECONDS + GRACE)
+        wait_ms = int(self._wait * MILLISECONDS)
+        path = f'/v1/kv-watch?prefix=&after={after}&wait_ms={wait_ms}'
+        status, body = self._get(path, self._wait + GRACE)
         if status == HTTP_GONE:
             return self._list_all()
         changes = _decode(_changes_decoder, status, body)
@@ -104,6 +106,7 @@
         raise PlatformError('the listing does not end')
 
     def _get(self, path: str, timeout: float) -> tuple[int, bytes]:
+        self.calls += 1
         connection = self._connection
         if connection is None:
             connection = http.client.HTTPConnection(self._address)
