Soak entry VMs as processes, and end a planned stop within its limit

A soak of our own: VMs as processes, stand-ins behind a loopback proxy that delays, resets, silences and cuts one way, signals that stop, pause, kill, and changes that come in series; the promises checked from what callers and searchers see.

Cause: after the last answer the process waited for its other tasks, among them a watch that the store holds for up to 4 s, and so beyond the 6 s of a stop. Now it ends once its callers are served and its lines are written; listening ends, with the last connections taken, a second before the limit.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 RUN := $(VENV)/bin
 
-.PHONY: demo test check format proto fuzz bench binary clean
+.PHONY: demo test check format proto fuzz soak bench binary clean
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,13 @@
 	@echo "seed: $(SEED)"
 	$(RUN)/pytest -k Fleet --hypothesis-profile=fuzz --hypothesis-seed=$(SEED)
 
+# SEEDS=50 AT_ONCE=4 for more; FIRST=... plays the seeds of an earlier run.
+SEEDS ?= 10
+AT_ONCE ?= 2
+FIRST ?= $(SEED)
+soak: $(VENV)/installed
+	$(RUN)/python -m soak --seeds $(SEEDS) --at-once $(AT_ONCE) --first $(FIRST)
+
 check: $(VENV)/installed
 	$(RUN)/ruff format --check .
 	$(RUN)/ruff check .
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -6,6 +6,7 @@
 
 import gc
 import logging
+import os
 import random
 import signal
 import sys
@@ -34,8 +35,13 @@
 from basilwall.forwarding.pools import Pools
 from basilwall.forwarding.reporting import Reporting
 from basilwall.forwarding.senders import Senders
-from basilwall.ingress.server import Ingress, StopState, ingress_server
-from basilwall.operators.log_queue import logging_to_stdout
+from basilwall.ingress.server import (
+    Ingress,
+    Listening,
+    StopState,
+    ingress_server,
+)
+from basilwall.operators.log_queue import LogWriter, logging_to_stdout
 from basilwall.operators.pages import ANY_PATH, page_server
 from basilwall.operators.text_metrics import TextMetrics
 from basilwall.parts.clock import BootClock, Clock
@@ -74,6 +80,8 @@
 BALANCER_LAG = 3.0
 #: Time kept at the end of a stop for the last answers, in seconds.
 LAST_ANSWERS = 0.8
+#: Time for taking and answering the last connections, in seconds.
+LAST_TAKEN = 1.0
 #: Time between two looks at what is still open, in seconds.
 STOP_STEP = 0.05
 HTTP_OK = 200
@@ -89,6 +97,7 @@
     settings: CurrentSettings
     deployment: Deployment
     ingress: Ingress
+    listening: Listening
     fleet: Fleet
     clock: Clock
 
@@ -106,6 +115,8 @@
         _log.info('stopping', extra={'connections': self._open()})
         self._wait(began_at + min(BALANCER_LAG, limit / 2))
         state.closes_idle = True
+        self._wait(began_at + limit - LAST_TAKEN, until_idle=True)
+        self.listening.close()
         self._wait(began_at + limit, until_idle=True)
         _log.info('stopped', extra={'cut_off': self._open()})
         return not self._open()
@@ -184,11 +195,18 @@
         ready = partial(_readiness, deployment, ingress.stop)
         by_path = {ANY_PATH: ready}
         stack.enter_context(page_server(settings.readiness_address, by_path))
-        stack.enter_context(
+        listening = stack.enter_context(
             ingress_server(ingress, settings.caller_address, tasks),
         )
         stack.callback(tasks.stopping.set)
-        yield EntryVm(current, deployment, ingress, fleet, clock)
+        yield EntryVm(
+            current,
+            deployment,
+            ingress,
+            listening,
+            fleet,
+            clock,
+        )
 
 
 def main() -> None:
@@ -199,21 +217,29 @@
     signal.signal(signal.SIGHUP, lambda *_: None)
     threading.stack_size(STACK_BYTES)
     sys.setswitchinterval(SWITCH_SECONDS)
-    with logging_to_stdout('INFO'):
+    with logging_to_stdout('INFO') as logs:
         try:
             current = CurrentSettings(settings_path(), read_node_file)
-            _serve(current, stopping)
+            _serve(current, stopping, logs)
         except (SettingsError, OSError) as error:
             _log.critical('not started', extra={'error': str(error)})
             sys.exit(1)
 
 
-def _serve(current: CurrentSettings, stopping: threading.Event) -> None:
+def _serve(
+    current: CurrentSettings,
+    stopping: threading.Event,
+    logs: LogWriter,
+) -> None:
     with running_entry(current) as vm:
         gc.freeze()
         _log.info('started', extra={'vm': current.value.name})
         stopping.wait()
-        vm.stop()
+        is_whole = vm.stop()
+        # Other tasks wait for the store or for VMs, seconds yet, for nothing
+        # that is of use now; the platform would kill the process meanwhile.
+        logs.finish()
+        os._exit(0 if is_whole else 1)
 
 
 def _fleet(
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -2,11 +2,12 @@
 
 import logging
 import socket
-import threading
 from collections.abc import Callable, Iterator
+from concurrent.futures import Future
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from functools import partial
+from threading import Event
 
 import h11
 
@@ -157,12 +158,25 @@
         caller.close()
 
 
+class Listening:
+    """The task that takes callers' connections, until it is closed."""
+
+    def __init__(self, accepting: Future[None], stopping: Event) -> None:
+        self._accepting = accepting
+        self._stopping = stopping
+
+    def close(self) -> None:
+        """Keep out new connections, take those already made, and end."""
+        self._stopping.set()
+        self._accepting.result()
+
+
 @contextmanager
 def ingress_server(
     ingress: Ingress,
     address: str,
     tasks: TaskGroup,
-) -> Iterator[None]:
+) -> Iterator[Listening]:
     """Serve callers for the length of a block.
 
     Args:
@@ -171,7 +185,7 @@
         tasks: Runs the listening task and one for each connection.
 
     Yields:
-        Nothing.
+        What ends the listening.
 
     Raises:
         OSError: If the address can't be bound.
@@ -179,30 +193,30 @@
     host, _, port = address.rpartition(':')
     listener = socket.create_server((host, int(port)), backlog=BACKLOG)
     listener.settimeout(ACCEPT_WAIT)
-    stopping = threading.Event()
+    stopping = Event()
     accepting = tasks.start(
-        partial(_accept, listener, ingress, tasks, stopping)
+        partial(_accept, listener, ingress, tasks, stopping),
     )
-    with listener:
-        try:
-            yield
-        finally:
-            stopping.set()
-            accepting.result()
+    listening = Listening(accepting, stopping)
+    try:
+        yield listening
+    finally:
+        listening.close()
 
 
 def _accept(
     listener: socket.socket,
     ingress: Ingress,
     tasks: TaskGroup,
-    stopping: threading.Event,
+    stopping: Event,
 ) -> None:
-    while not stopping.is_set():
-        _accept_one(listener, ingress, tasks)
-    refuse_new(listener)
-    listener.settimeout(0)
-    while _accept_one(listener, ingress, tasks):
-        _log.debug('took a connection made at the end')
+    with listener:
+        while not stopping.is_set():
+            _accept_one(listener, ingress, tasks)
+        refuse_new(listener)
+        listener.settimeout(0)
+        while _accept_one(listener, ingress, tasks):
+            _log.debug('took a connection made at the end')
 
 
 def _accept_one(
@@ -217,7 +231,7 @@
         return False
     except OSError as error:
         _log.warning('no connection taken', extra={'error': str(error)})
-        threading.Event().wait(ACCEPT_WAIT)
+        Event().wait(ACCEPT_WAIT)
         return False
     if len(ingress.connections) >= ingress.max_connections:
         _log.warning('too many connections')
--- a/basilwall/operators/log_queue.py
+++ b/basilwall/operators/log_queue.py
@@ -41,24 +41,38 @@
             self.dropped = 0
 
 
+class LogWriter:
+    """Writes the queued lines until it is told to finish."""
+
+    def __init__(self, listener: QueueListener) -> None:
+        self._listener = listener
+        self._is_running = True
+        listener.start()
+
+    def finish(self) -> None:
+        """Write what is queued, and no more."""
+        if self._is_running:
+            self._is_running = False
+            self._listener.stop()
+
+
 @contextmanager
-def logging_to_stdout(level: str) -> Iterator[DroppingHandler]:
+def logging_to_stdout(level: str) -> Iterator[LogWriter]:
     """Write all logs of at least `level` for the length of a block.
 
     Args:
         level: The name of the least level.
 
     Yields:
-        The handler, which counts what it dropped.
+        The writer.
     """
     waiting: queue.Queue[logging.LogRecord] = queue.Queue(MAX_WAITING)
     writer = logging.StreamHandler(sys.stdout)
     writer.setFormatter(JsonLines())
     handler = DroppingHandler(waiting)
-    listener = QueueListener(waiting, writer)
-    listener.start()
+    running = LogWriter(QueueListener(waiting, writer))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     try:
-        yield handler
+        yield running
     finally:
-        listener.stop()
+        running.finish()
--- a/basilwall/standin/record_searcher.py
+++ b/basilwall/standin/record_searcher.py
@@ -46,13 +46,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SeenRequest:
-    """One request as it arrived."""
+    """One request as it arrived, `at` in monotonic seconds."""
 
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     has_run: bool = False
+    at: float = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return a header by its name in small letters."""
@@ -204,7 +205,13 @@
         return None
     chunks = [bytes(one.data) for one in events if isinstance(one, h11.Data)]
     headers = tuple((bytes(name), bytes(one)) for name, one in head.headers)
-    return SeenRequest(head.method, head.target, headers, b''.join(chunks))
+    return SeenRequest(
+        head.method,
+        head.target,
+        headers,
+        b''.join(chunks),
+        at=time.monotonic(),
+    )
 
 
 def _head(
@@ -227,5 +234,6 @@
 
 
 def _reset(connection: socket.socket) -> None:
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-    connection.close()
+    with suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        connection.close()
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,227 @@
+"""The programs of one soak: VMs as processes, stand-ins behind proxies."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+
+from basilwall.standin.metadata_store import MetadataStore
+from basilwall.standin.ports import reserved_ports
+from basilwall.standin.record_searcher import RecordSearcher
+from soak.proxy import Proxy
+from tests.entry_stage import (
+    BOUNDS,
+    REGIONS,
+    ROUTES,
+    SHARDS,
+    ZONES,
+    record,
+    route,
+    table,
+)
+
+HOST = '127.0.0.1'
+SERVICES = ('single', *SHARDS)
+FRONT, READY, CONTROL = 8080, 8081, 8082
+#: Ends one process that does not end by itself, in seconds.
+LAST_RESORT = 15
+
+
+@dataclass
+class Disturbances:
+    """When what was disturbed, in monotonic seconds."""
+
+    spans: list = field(default_factory=list)
+
+    def begin(self, what):
+        """Note that a disturbance begins; returns what ends it."""
+        span = [what, time.monotonic(), float('inf')]
+        self.spans.append(span)
+
+        def end():
+            span[2] = time.monotonic()
+
+        return end
+
+    def touched(self, what, since, until):
+        """Return whether any of `what` was disturbed within a time."""
+        return any(
+            name in what and began < until and ended > since
+            for name, began, ended in tuple(self.spans)
+        )
+
+
+@dataclass
+class EntryProcess:
+    """One VM: its address on loopback and its process."""
+
+    number: int
+    ip: str
+    zone: str
+    node_file: object
+    log: object
+    process: object = None
+    life: int = 0
+    is_stopping: bool = False
+
+    @property
+    def front(self):
+        """Where callers connect."""
+        return (self.ip, FRONT)
+
+    def start(self):
+        """Start the process; it is ready some time later."""
+        self.life += 1
+        self.is_stopping = False
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'basilwall.entry'],
+            env={**os.environ, 'BASILWALL_NODE_FILE': str(self.node_file)},
+            stdout=self.log.open('ab'),
+            stderr=subprocess.STDOUT,
+        )
+
+    def signal(self, number):
+        """Send a signal to the process if it runs."""
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def end(self):
+        """End the process, whatever it does."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        self.signal(signal.SIGCONT)
+        self.process.kill()
+        self.process.wait(LAST_RESORT)
+
+
+class World:
+    """All programs of one soak and what the operator does."""
+
+    def __init__(self, folder, first_port, vms):
+        self.disturbances = Disturbances()
+        self.folder = folder
+        self.searchers = []
+        self.drained_at = {}
+        self.version = 0
+        self.versions_at = {}
+        self.lock = threading.Lock()
+        self._ports = iter(range(first_port, first_port + 120))
+        self.store = MetadataStore(self._address())
+        self.store.start()
+        self.store_proxy = self._proxy(self.store.address)
+        self.proxy_by_id = {}
+        self.change_table()
+        for number, service in enumerate(SERVICES):
+            for zone in ZONES:
+                self.add_searcher(service, zone, number)
+        self.vms = [self._make_vm(number, vms) for number in range(vms)]
+
+    def add_searcher(self, service, zone, number):
+        """Start a searcher and list it."""
+        place = len(self.searchers)
+        searcher_id = f'{service}.{zone}.{place}'
+        records = [record(number * 1000 + place * 10 + one) for one in range(4)]
+        searcher = RecordSearcher(self._address(), searcher_id, records, 0.004)
+        searcher.start()
+        self.proxy_by_id[searcher_id] = self._proxy(searcher.address)
+        self.searchers.append(searcher)
+        self.list_searcher(searcher, 'ready')
+        return searcher
+
+    def list_searcher(self, searcher, state):
+        """Write the entry of a searcher."""
+        service, zone, _ = searcher.searcher_id.split('.')
+        host, port = self.proxy_by_id[searcher.searcher_id].address
+        entry = {
+            'service': service,
+            'address': f'{host}:{port}',
+            'zone': zone,
+            'version': 'v1',
+            'capacity': 4,
+            'state': state,
+            'cold_left_ms': 0,
+            'call_seq': 1,
+            'born': 1,
+        }
+        key = f'servers/{searcher.searcher_id}'
+        self.store.put(key, json.dumps(entry).encode())
+
+    def change_table(self):
+        """Put the next version in force; its number is in a route."""
+        with self.lock:
+            self.version += 1
+            own = route(f'/v{self.version}/', service='single')
+            self.store.put('op/config', table(self.version, [*ROUTES, own]))
+            self.versions_at[self.version] = time.monotonic()
+
+    def rewrite_settings(self, vm):
+        """Change the settings file of a VM without a meaning."""
+        content = json.loads(vm.node_file.read_text())
+        content['touched'] = time.monotonic()
+        vm.node_file.write_text(json.dumps(content))
+
+    def close(self):
+        """End all programs of this soak."""
+        for vm in self.vms:
+            vm.end()
+        for searcher in self.searchers:
+            searcher.stop()
+        for proxy in (self.store_proxy, *self.proxy_by_id.values()):
+            proxy.close()
+        self.store.stop()
+
+    def _address(self):
+        return f'{HOST}:{next(self._ports)}'
+
+    def _proxy(self, target):
+        host, _, port = target.rpartition(':')
+        return Proxy((HOST, next(self._ports)), (host, int(port)))
+
+    def _make_vm(self, number, count):
+        # A network of its own for each soak, so that soaks run side by side.
+        base = self.store_proxy.address[1] // 128
+        network = f'127.{1 + base // 256}.{base % 256}'
+        ips = [f'{network}.{1 + place}' for place in range(count)]
+        ip, zone = ips[number], ZONES[number % len(ZONES)]
+        host, port = self.store_proxy.address
+        content = {
+            'node': f'vm-{number}',
+            'ip': ip,
+            'zone': zone,
+            'zones': REGIONS,
+            'listen': {
+                'front': f'{ip}:{FRONT}',
+                'ready': f'{ip}:{READY}',
+                'control': f'{ip}:{CONTROL}',
+            },
+            'seed_nodes': [f'{one}:{CONTROL}' for one in ips[:3]],
+            'limits': {'memory_mb': 300, 'max_fds': 4100},
+            'bounds': BOUNDS,
+            'platform': {
+                'address': f'{host}:{port}',
+                'reads_per_s': 2000,
+                'history_s': 20,
+            },
+        }
+        path = self.folder / f'vm-{number}.json'
+        path.write_text(json.dumps(content))
+        log = self.folder / f'vm-{number}.log'
+        return EntryProcess(number, ip, zone, path, log)
+
+
+@contextlib.contextmanager
+def running_world(folder, vms):
+    """Run the programs of one soak for the length of a block."""
+    with reserved_ports(120) as first_port:
+        world = World(folder, first_port, vms)
+        try:
+            for vm in world.vms:
+                vm.start()
+            yield world
+        finally:
+            world.close()
