--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -18,8 +18,8 @@
 )
 from basilwall.forwarding.waiting import CallerLeftError, Waiter
 from basilwall.records.forwarding import Answer, Call, Reply, Unsent, Verdict
-from basilwall.records.ids import ServiceName
 from basilwall.records.routes import Route, Scattering
+from basilwall.routing.turns import Turns
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -47,6 +47,7 @@
     ) -> None:
         self._senders = senders
         self._reporting = reporting
+        self._turns = Turns()
         self._source = source
 
     def serve(self, call: Call, caller: socket.socket) -> Answer:
@@ -99,12 +100,7 @@
         scattering = route.scattering
         if scattering is not None:
             return [Leg(shard, 0) for shard in scattering.shards]
-        return [Leg(self._choose_service(route), 0)]
-
-    def _choose_service(self, route: Route) -> ServiceName:
-        weights = [share.weight for share in route.shares]
-        chosen = self._source.choices(route.shares, weights)
-        return chosen[0].service
+        return [Leg(self._turns.next_service(route), 0)]
 
     def _refuse_quarantined(self, call: Call) -> Answer | None:
         """Refuse what would crash the searchers that run it."""
--- /dev/null
+++ b/basilwall/routing/turns.py
@@ -0,0 +1,53 @@
+"""Shares the requests of a route among services by their weights.
+
+Services take turns: each gains credit by its weight, and the one with the most
+credit is next. So after any number of requests each is within one of its part,
+which drawing at random is not.
+"""
+
+import threading
+from collections import OrderedDict
+
+from basilwall.records.ids import RouteName, ServiceName
+from basilwall.records.routes import Route, Share
+
+#: Routes whose turns are kept, those used last.
+MAX_ROUTES = 1024
+
+_Key = tuple[RouteName, tuple[Share, ...]]
+
+
+class Turns:
+    """Whose turn it is on each route; new weights begin anew."""
+
+    def __init__(self) -> None:
+        self._credit_by_route: OrderedDict[_Key, list[float]] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def next_service(self, route: Route) -> ServiceName:
+        """Return the service that takes the next request of a route.
+
+        Args:
+            route: A route that names services with weights, at least one.
+        """
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        with self._lock:
+            credit = self._credit(route)
+            for place, share in enumerate(shares):
+                credit[place] += share.weight
+            chosen = max(range(len(shares)), key=credit.__getitem__)
+            credit[chosen] -= sum(share.weight for share in shares)
+        return shares[chosen].service
+
+    def _credit(self, route: Route) -> list[float]:
+        key = (route.name, route.shares)
+        credit = self._credit_by_route.setdefault(
+            key,
+            [float(0) for _ in route.shares],
+        )
+        self._credit_by_route.move_to_end(key)
+        if len(self._credit_by_route) > MAX_ROUTES:
+            self._credit_by_route.popitem(last=False)
+        return credit
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -49,7 +49,10 @@
 
     def _found(self, vm, newest):
         """Return the version in force, None if that can't be told."""
-        for version in range(newest, max(newest - 6, 0), -1):
+        versions = list(range(newest, max(newest - 6, 0), -1))
+        # The newest is asked for again: it may have come into force after the
+        # first question, and then no question found any version.
+        for version in [*versions, newest]:
             status = _ask(vm, f'/v{version}/probe')
             if status in {0, 408, 503}:
                 return None
