--- a/basilwall/forwarding/run.py
+++ b/basilwall/forwarding/run.py
@@ -75,9 +75,13 @@
             now = self._clock.monotonic()
             hedges = [one.hedge_at for one in self.legs if one.is_open]
             wake_at = min(settling.looks_at(now), *hedges)
+            ended = False
             for exchange, outcome in self._waiter.wait(wake_at - now):
                 self._take(exchange, outcome)
-            self._hedge_late(self._clock.monotonic())
+                ended = True
+            # Replies that are here but not read yet must not count as late.
+            if not ended:
+                self._hedge_late(self._clock.monotonic())
 
     def close(self, *, caller_left: bool) -> None:
         """End what is still in flight.
--- a/basilwall/routing/turns.py
+++ b/basilwall/routing/turns.py
@@ -35,10 +35,11 @@
             return shares[0].service
         with self._lock:
             credit = self._credit(route)
-            for place, share in enumerate(shares):
-                credit[place] += share.weight
-            chosen = max(range(len(shares)), key=credit.__getitem__)
-            credit[chosen] -= sum(share.weight for share in shares)
+            weights = [one.weight for one in shares]
+            for place, weight in enumerate(weights):
+                credit[place] += weight
+            chosen = credit.index(max(credit))
+            credit[chosen] -= sum(weights)
         return shares[chosen].service
 
     def _credit(self, route: Route) -> list[float]:
