Write the head of a request once for all its attempts

Cause: with 36 or 54 shards a query, building and checking the same head for each attempt took a third of this program's own time.

The head is joined once, of parts that the parser has checked; h11 reads the replies as before. 300 queries of four shards under the profiler: 1.30 s of our own time before, 0.74 s after.

--- a/basilwall/forwarding/codec.py
+++ b/basilwall/forwarding/codec.py
@@ -9,7 +9,7 @@
 
 
 class AttemptCodec(ABC):
-    """Writes the heads of attempts and reads the replies to them."""
+    """Writes attempts and reads the replies to them."""
 
     @abstractmethod
     def attempt(
@@ -17,8 +17,8 @@
         call: Call,
         searcher: SearcherId,
         time_left: float,
-    ) -> h11.Request:
-        """Return the head of one attempt; `time_left` is in seconds."""
+    ) -> bytes:
+        """Return the bytes of one attempt; `time_left` is in seconds."""
 
     @abstractmethod
     def belongs(self, call: Call, response: h11.Response) -> bool:
--- a/basilwall/forwarding/exchange.py
+++ b/basilwall/forwarding/exchange.py
@@ -112,11 +112,11 @@
         self.sent_at = self._clock.monotonic()
         left = self._deadline - self.sent_at
         self._reader = ReplyReader(
-            self._codec.attempt(self.call, self.searcher, left),
-            self.call.body,
+            self.call.method,
             partial(self._codec.belongs, self.call),
         )
-        self._unsent = memoryview(self._reader.request)
+        sent = self._codec.attempt(self.call, self.searcher, left)
+        self._unsent = memoryview(sent)
         self.stage = Stage.SENDING
 
     def _send(self) -> None:
--- a/basilwall/forwarding/reply_reader.py
+++ b/basilwall/forwarding/reply_reader.py
@@ -1,4 +1,4 @@
-"""Writes one request to a searcher and reads the reply to it, as bytes.
+"""Reads the reply to one request of a searcher from its bytes.
 
 A searcher may send more than the reply: a late one to an earlier request,
 which is passed over, or bytes after the last one, which belong to no request.
@@ -13,6 +13,11 @@
 MAX_HEAD_BYTES = 65_536
 #: A reply above this size ends the attempt, in bytes.
 MAX_REPLY_BYTES = 16_777_216
+HEAD = b'HEAD'
+#: Tell the parser what its replies answer; only the method matters to it.
+_SENT = h11.Request(method='GET', target='/', headers=[('Host', 'a')])
+_SENT_HEAD = h11.Request(method=HEAD, target='/', headers=[('Host', 'a')])
+_SENT_ALL = h11.EndOfMessage()
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,16 +30,14 @@
 
 
 class ReplyReader:
-    """The bytes of one request and of its reply."""
+    """The bytes of the reply to one request."""
 
     def __init__(
         self,
-        head: h11.Request,
-        body: bytes,
+        method: bytes,
         belongs: Callable[[h11.Response], bool],
     ) -> None:
-        self._head = head
-        self._body = body
+        self._sent = _SENT_HEAD if method == HEAD else _SENT
         self._belongs = belongs
         self._size = 0
         self._begin()
@@ -72,13 +75,8 @@
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEAD_BYTES,
         )
-        events: list[h11.Event] = [self._head]
-        if self._body:
-            events.append(h11.Data(data=self._body))
-        events.append(h11.EndOfMessage())
-        self.request = b''.join(
-            self._http.send(event) or b'' for event in events
-        )
+        self._http.send(self._sent)
+        self._http.send(_SENT_ALL)
 
     def _take(self, event: object) -> WholeReply | None:
         if isinstance(event, h11.Response):
--- a/basilwall/forwarding/reply_reader_test.py
+++ b/basilwall/forwarding/reply_reader_test.py
@@ -9,7 +9,6 @@
 
 from basilwall.forwarding.reply_reader import ReplyReader
 
-REQUEST = h11.Request(method='GET', target='/a', headers=[('Host', 'b')])
 OWN = b'HTTP/1.1 200 OK\r\nRequest-Id: own\r\nContent-Length: 3\r\n\r\nabc'
 OTHER = b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nxy'
 CHUNKED = (
@@ -24,7 +23,7 @@
 
 
 def reader():
-    return ReplyReader(REQUEST, b'', is_own)
+    return ReplyReader(b'GET', is_own)
 
 
 def feed(made, stream, cuts, closes=False):
@@ -52,6 +51,12 @@
     assert rest or not whole.is_clean
 
 
+def test_a_reply_to_head_has_no_body():
+    made = ReplyReader(b'HEAD', is_own)
+    whole = made.feed(OWN.partition(b'abc')[0])
+    assert (whole.body, whole.is_clean) == (b'', True)
+
+
 def test_a_reply_without_a_length_ends_with_its_connection():
     whole, _ = feed(reader(), UNFRAMED, [], closes=True)
     assert whole.body == b'abc'
--- a/basilwall/forwarding/settling_test.py
+++ b/basilwall/forwarding/settling_test.py
@@ -21,7 +21,7 @@
 
 
 def call():
-    return Call(b'GET', b'/a/', 'host', b'1', (), b'', START, START + 5)
+    return Call(b'GET', b'/a/', 'host', b'1', b'', b'', START, START + 5)
 
 
 def route(least=0.89):
--- a/basilwall/platform/codec.py
+++ b/basilwall/platform/codec.py
@@ -20,8 +20,8 @@
         call: Call,
         searcher: SearcherId,
         time_left: float,
-    ) -> h11.Request:
-        """Return the head of one attempt."""
+    ) -> bytes:
+        """Return the bytes of one attempt."""
         return headers.encode_attempt(call, searcher, time_left)
 
     def belongs(self, call: Call, response: h11.Response) -> bool:
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -21,7 +21,7 @@
 # How much longer the sender will wait, in milliseconds.
 TIME_LEFT = b'request-deadline-ms'
 # The one searcher that may run the request; any other answers 421.
-ONLY_FOR = b'Expect-Instance'
+ONLY_FOR = 'Expect-Instance'
 # The digest of a searcher's answer.
 DIGEST = b'server-stamp'
 # Says that the searcher did not run the request.
@@ -65,7 +65,7 @@
         target=request.target,
         host=host.rpartition(':')[0] if ':' in host else host,
         request_id=by_name.get(REQUEST_ID, b''),
-        headers=_forwarded(request, _SET_HERE),
+        head=_head(request),
         body=body,
         received_at=now,
         expires_at=now + _wait(by_name.get(TIME_LEFT, b'')),
@@ -76,8 +76,11 @@
     call: Call,
     searcher: SearcherId,
     time_left: float,
-) -> h11.Request:
-    """Return the head of one attempt.
+) -> bytes:
+    """Return the bytes of one attempt.
+
+    Each part of it was checked when it was read, the head by the parser of
+    the caller's request and the searcher's id by that of its entry.
 
     Args:
         call: The caller's request.
@@ -85,18 +88,10 @@
         time_left: How long its answer is waited for, in seconds.
     """
     left = max(int(time_left * MILLISECONDS), 1)
-    headers = [
-        *call.headers,
-        (b'Request-Deadline-Ms', str(left).encode()),
-        (ONLY_FOR, searcher.encode()),
-    ]
+    own = f'Request-Deadline-Ms: {left}\r\n{ONLY_FOR}: {searcher}\r\n'
     if call.body or call.method not in {b'GET', b'HEAD'}:
-        headers.append((b'Content-Length', str(len(call.body)).encode()))
-    return h11.Request(
-        method=call.method,
-        target=call.target,
-        headers=headers,
-    )
+        own = f'{own}Content-Length: {len(call.body)}\r\n'
+    return b''.join((call.head, own.encode(), b'\r\n', call.body))
 
 
 def is_reply_to(request_id: bytes, response: h11.Response) -> bool:
@@ -156,6 +151,14 @@
     return headers
 
 
+def _head(request: h11.Request) -> bytes:
+    line = b'%b %b HTTP/1.1\r\n' % (request.method, request.target)
+    lines = (
+        b'%b: %b\r\n' % header for header in _forwarded(request, _SET_HERE)
+    )
+    return b''.join((line, *lines))
+
+
 def _forwarded(
     head: h11.Request | h11.Response,
     also_left_out: frozenset[bytes] = _NONE,
--- a/basilwall/platform/values.py
+++ b/basilwall/platform/values.py
@@ -32,6 +32,8 @@
 SEARCHER_PREFIX = 'servers/'
 MILLISECONDS = 1000
 _ADDRESS = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
+#: An id goes into headers as it is.
+_SEARCHER_ID = re.compile('[!-~]{1,190}')
 
 #: Longest name of anything, in characters.
 MAX_NAME = 256
@@ -135,7 +137,8 @@
     except _FAILURES as error:
         raise UnreadableValueError(str(error)) from error
     searcher_id = key.removeprefix(SEARCHER_PREFIX)
-    if not (searcher_id and _ADDRESS.fullmatch(entry.address)):
+    has_id = _SEARCHER_ID.fullmatch(searcher_id)
+    if not (has_id and _ADDRESS.fullmatch(entry.address)):
         raise UnreadableValueError('no id, or no address of a searcher')
     return Searcher(
         SearcherId(searcher_id),
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -13,16 +13,17 @@
 class Call:
     """One whole request of a caller.
 
-    `request_id` is empty if the caller sent none. `headers` are those that
-    go on to a searcher. `received_at` and `expires_at` are in monotonic
-    seconds; the caller waits no longer than the latter.
+    `request_id` is empty if the caller sent none. `head` is what goes on to
+    every searcher: the request line and the headers, without those that
+    differ for each and without the empty line. `received_at` and `expires_at`
+    are in monotonic seconds; the caller waits no longer than the latter.
     """
 
     method: bytes
     target: bytes
     host: str
     request_id: bytes
-    headers: RawHeaders
+    head: bytes
     body: bytes
     received_at: float
     expires_at: float
