Split the entry program's root, and share start and stop of stand-ins

The planned stop has a module of its own, what reads the store is built in one place, and the two stand-ins that serve HTTP no longer write it twice. No change of behaviour.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -35,14 +35,10 @@
 from basilwall.forwarding.pools import Pools
 from basilwall.forwarding.reporting import Reporting
 from basilwall.forwarding.senders import Senders
-from basilwall.ingress.server import (
-    Ingress,
-    Listening,
-    StopState,
-    ingress_server,
-)
+from basilwall.ingress.server import Ingress, StopState, ingress_server
+from basilwall.ingress.vm import EntryVm
 from basilwall.operators.log_queue import LogWriter, logging_to_stdout
-from basilwall.operators.pages import ANY_PATH, page_server
+from basilwall.operators.pages import ANY_PATH, Pages, page_server
 from basilwall.operators.text_metrics import TextMetrics
 from basilwall.parts.clock import BootClock, Clock
 from basilwall.parts.membership import Member, Membership
@@ -76,62 +72,12 @@
 STACK_BYTES = 262_144
 SWITCH_SECONDS = 0.0005
 HOUSEKEEPING_SECONDS = 0.5
-#: The balancer notices within this time that a VM is not ready, in seconds.
-BALANCER_LAG = 3.0
-#: Time kept at the end of a stop for the last answers, in seconds.
-LAST_ANSWERS = 0.8
-#: Time for taking and answering the last connections, in seconds.
-LAST_TAKEN = 1.0
-#: Time between two looks at what is still open, in seconds.
-STOP_STEP = 0.05
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class EntryVm:
-    """One running entry VM and its planned stop."""
-
-    settings: CurrentSettings
-    deployment: Deployment
-    ingress: Ingress
-    listening: Listening
-    fleet: Fleet
-    clock: Clock
-
-    def stop(self) -> bool:
-        """Stop by plan: leave the balancer, then finish what was begun.
-
-        Returns:
-            False if a connection was cut off at the limit.
-        """
-        began_at = self.clock.monotonic()
-        limit = self.settings.value.bounds.stop_limit - LAST_ANSWERS
-        state = self.ingress.stop
-        state.is_stopping = True
-        self.fleet.membership.leave()
-        _log.info('stopping', extra={'connections': self._open()})
-        self._wait(began_at + min(BALANCER_LAG, limit / 2))
-        state.closes_idle = True
-        self._wait(began_at + limit - LAST_TAKEN, until_idle=True)
-        self.listening.close()
-        self._wait(began_at + limit, until_idle=True)
-        _log.info('stopped', extra={'cut_off': self._open()})
-        return not self._open()
-
-    def _open(self) -> int:
-        return len(self.ingress.connections)
-
-    def _wait(self, end: float, *, until_idle: bool = False) -> None:
-        pause = threading.Event()
-        while self.clock.monotonic() < end:
-            if until_idle and not self._open():
-                return
-            pause.wait(STOP_STEP)
-
-
 @contextmanager
 def running_entry(current: CurrentSettings) -> Iterator[EntryVm]:
     """Run an entry VM for the length of a block.
@@ -148,53 +94,28 @@
     settings = current.value
     clock, source = BootClock(), random.Random()
     deployment = Deployment(StoreValues(), clock)
-    register = RevisionRegister(deployment.accept)
     with ExitStack() as stack:
         tasks = stack.enter_context(task_group('task'))
         fleet = _fleet(settings, tasks, clock, source)
-        may_ask = _may_ask(settings)
-        store = HttpStore(
-            settings.store_address,
-            SHORT_WATCH if may_ask else LONG_WATCH,
-        )
-        reader = RelayedReader(store, fleet.membership, clock, may_ask)
-        watch = PlatformWatch(
-            reader,
-            register,
-            clock,
-            source,
-            least_gap=STORE_GAP,
-        )
-        knowledge = StoreKnowledge(watch, reader, clock)
-        deployment.doubt = knowledge.doubted_until
-        changes = ChangeServer(
-            register,
-            watch,
-            knowledge,
-            clock,
-            lambda: reader.reads_itself,
-        )
-        register.subscribe(changes.note_change)
+        reading = _reading(settings, deployment, fleet, clock, source)
         metrics = TextMetrics()
-        reporting = Reporting(
-            metrics,
-            clock.monotonic,
-            knowledge.age,
-        )
+        age = reading.knowledge.age
+        reporting = Reporting(metrics, clock.monotonic, age)
         ingress = _ingress(current, deployment, fleet, reporting, source)
-        _show(metrics, ingress, fleet, watch, store)
-        by_path = {ANY_PATH: metrics.page}
-        stack.enter_context(page_server(settings.metrics_address, by_path))
+        _show(metrics, ingress, fleet, reading)
         tasks.start(fleet.links.run)
-        peer_pages = {
-            EXCHANGE: fleet.links.answer,
-            CHANGES: changes.answer,
-        }
-        stack.enter_context(page_server(settings.peer_address, peer_pages))
-        tasks.start(partial(watch.run, tasks.stopping))
+        tasks.start(partial(reading.watch.run, tasks.stopping))
         ready = partial(_readiness, deployment, ingress.stop)
-        by_path = {ANY_PATH: ready}
-        stack.enter_context(page_server(settings.readiness_address, by_path))
+        pages_by_address: dict[str, Pages] = {
+            settings.metrics_address: {ANY_PATH: metrics.page},
+            settings.readiness_address: {ANY_PATH: ready},
+            settings.peer_address: {
+                EXCHANGE: fleet.links.answer,
+                CHANGES: reading.changes.answer,
+            },
+        }
+        for address, pages in pages_by_address.items():
+            stack.enter_context(page_server(address, pages))
         listening = stack.enter_context(
             ingress_server(ingress, settings.caller_address, tasks),
         )
@@ -242,6 +163,48 @@
         os._exit(0 if is_whole else 1)
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What reads the store, here or through other VMs, and passes it on."""
+
+    store: HttpStore
+    watch: PlatformWatch
+    knowledge: StoreKnowledge
+    changes: ChangeServer
+
+
+def _reading(
+    settings: EntrySettings,
+    deployment: Deployment,
+    fleet: Fleet,
+    clock: Clock,
+    source: random.Random,
+) -> Reading:
+    register = RevisionRegister(deployment.accept)
+    may_ask = _may_ask(settings)
+    wait = SHORT_WATCH if may_ask else LONG_WATCH
+    store = HttpStore(settings.store_address, wait)
+    reader = RelayedReader(store, fleet.membership, clock, may_ask)
+    watch = PlatformWatch(
+        reader,
+        register,
+        clock,
+        source,
+        least_gap=STORE_GAP,
+    )
+    knowledge = StoreKnowledge(watch, reader, clock)
+    deployment.doubt = knowledge.doubted_until
+    changes = ChangeServer(
+        register,
+        watch,
+        knowledge,
+        clock,
+        lambda: reader.reads_itself,
+    )
+    register.subscribe(changes.note_change)
+    return Reading(store, watch, knowledge, changes)
+
+
 def _fleet(
     settings: EntrySettings,
     tasks: TaskGroup,
@@ -345,8 +308,7 @@
     metrics: TextMetrics,
     ingress: Ingress,
     fleet: Fleet,
-    watch: PlatformWatch,
-    store: HttpStore,
+    reading: Reading,
 ) -> None:
     connections = ingress.connections
     show = metrics.gauge
@@ -355,12 +317,12 @@
     show(
         'store_failures',
         'Failed reads of the store in a row.',
-        lambda: watch.health.failures,
+        lambda: reading.watch.health.failures,
     )
     show(
         'store_calls',
         'Calls to the store since the start.',
-        lambda: store.calls,
+        lambda: reading.store.calls,
     )
 
 
--- a/basilwall/standin/http_server.py
+++ b/basilwall/standin/http_server.py
@@ -90,6 +90,34 @@
         """Pass over connections that the other side cut."""
 
 
+class HttpStandIn:
+    """A stand-in that serves HTTP on threads while it is started."""
+
+    #: Class of the handlers, which find the stand-in as `stand_in`.
+    handler_class: type[StandInHandler]
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._server: StandInServer | None = None
+
+    def start(self) -> None:
+        """Listen, and serve on threads."""
+        handler = type('Handler', (self.handler_class,), {'stand_in': self})
+        self._server = StandInServer(split_address(self.address), handler)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop()
+
+    def cut(self) -> None:
+        """Cut all connections and go on listening."""
+        if self._server is not None:
+            self._server.cut_connections()
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of `host:port`."""
     host, _, port = address.rpartition(':')
--- a/basilwall/standin/metadata_store.py
+++ b/basilwall/standin/metadata_store.py
@@ -10,11 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from basilwall.standin.http_server import (
-    StandInHandler,
-    StandInServer,
-    split_address,
-)
+from basilwall.standin.http_server import HttpStandIn, StandInHandler
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -47,39 +43,43 @@
         }
 
 
-class MetadataStore:
+class _StoreHandler(StandInHandler):
+    stand_in: 'MetadataStore'
+
+    def do_GET(self) -> None:
+        store = self.stand_in
+        store.calls += 1
+        parts = urlsplit(self.path)
+        fields = {key: one[0] for key, one in parse_qs(parts.query).items()}
+        prefix = fields.get('prefix', '')
+        if store.is_down:
+            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
+        elif parts.path == '/v1/kv-range':
+            self.reply_json(
+                HTTP_OK, store.range(prefix, fields.get('after', ''))
+            )
+        elif parts.path == '/v1/kv-watch':
+            after = int(fields['after'])
+            wait = int(fields['wait_ms']) / MILLISECONDS
+            changes = store.watch(prefix, after, wait)
+            self.reply_json(HTTP_OK if changes else HTTP_GONE, changes)
+        else:
+            self.reply_json(HTTP_NOT_FOUND, {'error': 'no such call'})
+
+
+class MetadataStore(HttpStandIn):
     """Keys with revisions, served over HTTP."""
 
+    handler_class = _StoreHandler
+
     def __init__(self, address: str) -> None:
-        self.address = address
+        super().__init__(address)
         self.is_down = False
         self.calls = 0
         self._changes: list[_Change] = []
         self._forgotten = 0
         self._revision = 0
         self._changed = threading.Condition()
-        self._server: StandInServer | None = None
-
-    def start(self) -> None:
-        """Listen, and serve on threads."""
-        store = self
-
-        class Handler(_StoreHandler):
-            store_in = store
-
-        self._server = StandInServer(split_address(self.address), Handler)
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop listening and cut all connections."""
-        server, self._server = self._server, None
-        if server is not None:
-            server.stop()
-
-    def cut(self) -> None:
-        """Cut all connections; the store goes on."""
-        if self._server is not None:
-            self._server.cut_connections()
 
     def put(self, key: str, value: bytes) -> int:
         """Write a value and return its revision."""
@@ -134,27 +134,3 @@
             self._changes.append(_Change(key, self._revision, value))
             self._changed.notify_all()
             return self._revision
-
-
-class _StoreHandler(StandInHandler):
-    store_in: MetadataStore
-
-    def do_GET(self) -> None:
-        store = self.store_in
-        store.calls += 1
-        parts = urlsplit(self.path)
-        fields = {key: one[0] for key, one in parse_qs(parts.query).items()}
-        prefix = fields.get('prefix', '')
-        if store.is_down:
-            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
-        elif parts.path == '/v1/kv-range':
-            self.reply_json(
-                HTTP_OK, store.range(prefix, fields.get('after', ''))
-            )
-        elif parts.path == '/v1/kv-watch':
-            after = int(fields['after'])
-            wait = int(fields['wait_ms']) / MILLISECONDS
-            changes = store.watch(prefix, after, wait)
-            self.reply_json(HTTP_OK if changes else HTTP_GONE, changes)
-        else:
-            self.reply_json(HTTP_NOT_FOUND, {'error': 'no such call'})
--- a/basilwall/standin/platform.py
+++ b/basilwall/standin/platform.py
@@ -13,11 +13,7 @@
 
 from basilwall.configuration.client import WatchReply
 from basilwall.records.catalogue import PublishedValue
-from basilwall.standin.http_server import (
-    StandInHandler,
-    StandInServer,
-    split_address,
-)
+from basilwall.standin.http_server import HttpStandIn, StandInHandler
 
 MAX_VALUE_BYTES = 1_048_576
 CALLS_A_SECOND = 2000
@@ -29,11 +25,60 @@
 HTTP_UNAVAILABLE = 503
 
 
-class PlatformStandIn:
+class _Change(msgspec.Struct):
+    down: bool = False
+    stale: bool = False
+    #: Stale at this revision, also if readers have seen newer ones.
+    show_up_to: int | None = None
+
+
+class _PlatformHandler(StandInHandler):
+    stand_in: 'PlatformStandIn'
+
+    def do_GET(self) -> None:
+        if self.stand_in.down:
+            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
+            return
+        if not self.stand_in.allow():
+            self.reply_json(HTTP_TOO_MANY, {'error': 'too many calls'})
+            return
+        fields = parse_qs(urlsplit(self.path).query)
+        reply = self.stand_in.watch(
+            fields['prefix'][0],
+            int(fields['after'][0]),
+            float(fields['wait_s'][0]),
+        )
+        if self.stand_in.down:
+            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
+            return
+        self.reply_json(HTTP_OK, reply)
+
+    def do_PUT(self) -> None:
+        """Publish a value, or change switches at /switches."""
+        body = self.read_body()
+        path = unquote(urlsplit(self.path).path)
+        if path == '/switches':
+            change = msgspec.json.decode(body, type=_Change)
+            self.stand_in.switch(down=change.down, stale=change.stale)
+            if change.show_up_to is not None:
+                self.stand_in.go_back(change.show_up_to)
+            self.reply_json(HTTP_OK, change)
+            return
+        if len(body) > MAX_VALUE_BYTES:
+            self.reply_json(HTTP_TOO_LARGE, {'error': 'too large'})
+            return
+        key = path.removeprefix('/v1/values/')
+        revision = self.stand_in.publish(key, body)
+        self.reply_json(HTTP_OK, {'revision': revision})
+
+
+class PlatformStandIn(HttpStandIn):
     """Published values with revisions, and switches for outages."""
 
+    handler_class = _PlatformHandler
+
     def __init__(self, address: str) -> None:
-        self.address = address
+        super().__init__(address)
         self.down = False
         #: While stale, readers see nothing above this revision.
         self.stale_at: int | None = None
@@ -43,23 +88,6 @@
         self._history: deque[PublishedValue] = deque(maxlen=MAX_HISTORY)
         self._revision = 0
         self._changed = threading.Condition()
-        self._server: StandInServer | None = None
-
-    def start(self) -> None:
-        """Listen, and serve on threads."""
-        stand_in = self
-
-        class Handler(_PlatformHandler):
-            platform = stand_in
-
-        self._server = StandInServer(split_address(self.address), Handler)
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop listening and cut all connections."""
-        server, self._server = self._server, None
-        if server is not None:
-            server.stop()
 
     def publish(self, key: str, body: bytes) -> int:
         """Publish a value and return its revision."""
@@ -117,50 +145,3 @@
         if self.stale_at is not None:
             return min(self.stale_at, self._revision)
         return self._revision
-
-
-class _Change(msgspec.Struct):
-    down: bool = False
-    stale: bool = False
-    #: Stale at this revision, also if readers have seen newer ones.
-    show_up_to: int | None = None
-
-
-class _PlatformHandler(StandInHandler):
-    platform: PlatformStandIn
-
-    def do_GET(self) -> None:
-        if self.platform.down:
-            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
-            return
-        if not self.platform.allow():
-            self.reply_json(HTTP_TOO_MANY, {'error': 'too many calls'})
-            return
-        fields = parse_qs(urlsplit(self.path).query)
-        reply = self.platform.watch(
-            fields['prefix'][0],
-            int(fields['after'][0]),
-            float(fields['wait_s'][0]),
-        )
-        if self.platform.down:
-            self.reply_json(HTTP_UNAVAILABLE, {'error': 'down'})
-            return
-        self.reply_json(HTTP_OK, reply)
-
-    def do_PUT(self) -> None:
-        """Publish a value, or change switches at /switches."""
-        body = self.read_body()
-        path = unquote(urlsplit(self.path).path)
-        if path == '/switches':
-            change = msgspec.json.decode(body, type=_Change)
-            self.platform.switch(down=change.down, stale=change.stale)
-            if change.show_up_to is not None:
-                self.platform.go_back(change.show_up_to)
-            self.reply_json(HTTP_OK, change)
-            return
-        if len(body) > MAX_VALUE_BYTES:
-            self.reply_json(HTTP_TOO_LARGE, {'error': 'too large'})
-            return
-        key = path.removeprefix('/v1/values/')
-        revision = self.platform.publish(key, body)
-        self.reply_json(HTTP_OK, {'revision': revision})
