--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from functools import partial
+from http import HTTPStatus
 from threading import Event
 
 import h11
@@ -133,7 +134,7 @@
         head = h11.Response(
             status_code=answer.status,
             headers=headers,
-            reason=answer.reason,
+            reason=answer.reason or HTTPStatus(answer.status).phrase.encode(),
         )
         parts = [http.send(head) or b'']
         if answer.body and (call is None or call.method != b'HEAD'):
