Send nothing to a searcher that left while its connection was made

Cause, found by reading: a searcher was checked when it was chosen, and a connection may take seconds to be made, longer than the bound within which a leaving searcher gets its last work; the deadline may pass as well. Both are asked now right before the first byte, and what is held back counts as not sent. A connection to a former life of a searcher is no longer kept for the next one, and a hedge that finds no other searcher spends no budget.

--- a/basilwall/forwarding/exchange.py
+++ b/basilwall/forwarding/exchange.py
@@ -4,6 +4,8 @@
 was read to its end with nothing after it.
 """
 
+import errno
+from collections.abc import Callable
 from enum import Enum
 from functools import partial
 
@@ -25,6 +27,10 @@
 READ_BYTES = 65_536
 
 
+class HeldBackError(OSError):
+    """The attempt may not be sent any more."""
+
+
 class Stage(Enum):
     """How far an attempt has come on its connection."""
 
@@ -47,7 +53,20 @@
         codec: AttemptCodec,
         clock: Clock,
         deadline: float,
+        may_send: Callable[[], bool],
     ) -> None:
+        """Prepare an attempt.
+
+        Args:
+            call: The caller's request.
+            connection: Where to send it, connected or about to be.
+            codec: Writes the attempt and reads the reply.
+            clock: Tells the time that is left.
+            deadline: Nothing is sent after this, in monotonic seconds.
+            may_send: Asked right before the first byte: the searcher may have
+                left while the connection was being made.
+        """
+        self._may_send = may_send
         self.call = call
         self.connection = connection
         self.sent_at = clock.monotonic()
@@ -60,8 +79,6 @@
         self._unsent = memoryview(b'')
         self._is_cut = False
         self._reader: ReplyReader | None = None
-        if connection.is_connected:
-            self._begin()
 
     @property
     def searcher(self) -> SearcherId:
@@ -94,7 +111,8 @@
 
     def _advance(self) -> AttemptResult | None:
         if self.stage is Stage.CONNECTING:
-            self.connection.finish_connecting()
+            if not self.connection.is_connected:
+                self.connection.finish_connecting()
             self._begin()
         if self.stage is Stage.SENDING:
             self._send()
@@ -111,6 +129,8 @@
     def _begin(self) -> None:
         self.sent_at = self._clock.monotonic()
         left = self._deadline - self.sent_at
+        if left <= 0 or not self._may_send():
+            raise HeldBackError(errno.ECANCELED, 'too late, or leaving')
         self._reader = ReplyReader(
             self.call.method,
             partial(self._codec.belongs, self.call),
--- a/basilwall/forwarding/pools.py
+++ b/basilwall/forwarding/pools.py
@@ -102,7 +102,13 @@
         """Keep a connection whose reply was read to its end."""
         self._note_connect(connection)
         pool = self._pool_by_id.get(connection.searcher.searcher_id)
-        if pool is None or pool.open_count > self._share(pool):
+        is_kept = (
+            pool is not None
+            # The searcher may have started anew meanwhile.
+            and _is_same(connection.searcher, pool.standing.searcher)
+            and pool.open_count <= self._share(pool)
+        )
+        if pool is None or not is_kept:
             self.discard(connection)
             return
         with self._lock:
--- a/basilwall/forwarding/run.py
+++ b/basilwall/forwarding/run.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+from functools import partial
 
 from basilwall.forwarding.exchange import Exchange
 from basilwall.forwarding.leg import Leg
@@ -109,6 +110,7 @@
             self._senders.codec,
             self._clock,
             self._deadline,
+            partial(self._senders.deployment.is_usable, searcher),
         )
         self._trail.attempts += 1
         leg.sent_to.add(searcher.searcher_id)
@@ -148,13 +150,13 @@
         late = next(iter(leg.number_by_exchange), None)
         searcher = late.searcher if late else NOBODY
         budget = self._senders.policy.budget(leg.service)
-        has_budget = budget.spend(RESERVE)
-        if has_budget and self._send(leg):
+        if self._pick(leg) is None:
+            self._step(leg, searcher, 'late, no other searcher for a hedge')
+        elif budget.spend(RESERVE) and self._send(leg):
             self._trail.hedges += 1
             self._step(leg, searcher, 'late, hedged')
-            return
-        lacking = 'other searcher' if has_budget else 'budget'
-        self._step(leg, searcher, f'late, no {lacking} for a hedge')
+        else:
+            self._step(leg, searcher, 'late, no budget for a hedge')
 
     def _step(self, leg: Leg, searcher: SearcherId, what: str) -> None:
         after = self._clock.monotonic() - self._call.received_at
