--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -157,7 +157,7 @@
                 merge((one.body for one in replies), scattering.top_records),
                 b'OK',
                 missing=missing,
-                digests=tuple(one.digest for one in replies),
+                signatures=tuple(one.signature for one in replies),
             )
         if any(leg.is_open for leg in legs) and not _is_hopeless(
             legs,
@@ -206,7 +206,7 @@
     has no right to them.
     """
     has_run = reply.has_run and reply.status not in NOT_RUN_STATUSES
-    return has_run and bool(reply.digest)
+    return has_run and bool(reply.signature)
 
 
 def _passed_on(reply: Reply, verdict: Verdict) -> Answer:
--- a/basilwall/forwarding/rules_test.py
+++ b/basilwall/forwarding/rules_test.py
@@ -9,8 +9,8 @@
 from basilwall.records.routes import Repeat
 
 
-def reply(status, has_run=True, digest=b'd'):
-    return Reply('i', status, b'', (), b'', digest, has_run, False)
+def reply(status, has_run=True, signature=b'd'):
+    return Reply('i', status, b'', (), b'', signature, has_run, False)
 
 
 SHED = reply(503, has_run=False)
@@ -22,7 +22,7 @@
     ('outcome', 'kind'),
     [
         (reply(200), Kind.SUCCESS),
-        (reply(200, digest=b''), Kind.FAILED),
+        (reply(200, signature=b''), Kind.FAILED),
         (reply(302), Kind.FAILED),
         (reply(404), Kind.REJECTED),
         (reply(500), Kind.FAILED),
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -22,8 +22,8 @@
 TIME_LEFT = b'request-deadline-ms'
 # The one searcher that may run the request; any other answers 421.
 ONLY_FOR = 'Expect-Instance'
-# The digest of a searcher's answer.
-DIGEST = b'server-stamp'
+# The signature of a searcher's answer.
+SIGNATURE = b'server-stamp'
 # Says that the searcher did not run the request.
 DID_NOT_RUN = b'not-executed'
 
@@ -115,7 +115,7 @@
         reason=response.reason,
         headers=_forwarded(response),
         body=body,
-        digest=by_name.get(DIGEST, b''),
+        signature=by_name.get(SIGNATURE, b''),
         has_run=not (said_not_run or response.status_code == _MISDIRECTED),
         is_leaving=b'close' in options,
     )
@@ -142,8 +142,8 @@
     names = {name.lower() for name, _ in headers}
     if call is not None and call.request_id and REQUEST_ID not in names:
         headers.append((b'Request-Id', call.request_id))
-    if answer.digests:
-        headers.append((b'Part-Stamps', b', '.join(answer.digests)))
+    if answer.signatures:
+        headers.append((b'Part-Stamps', b', '.join(answer.signatures)))
         headers.append((b'Missing-Parts', str(answer.missing).encode()))
     if answer.retry_after is not None:
         after = f'{answer.retry_after:.2f}'
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -46,14 +46,14 @@
     reason: bytes
     headers: RawHeaders
     body: bytes
-    digest: bytes
+    signature: bytes
     has_run: bool
     is_leaving: bool
 
     @property
     def is_success(self) -> bool:
         """True if the reply may stand for the answer of its searcher."""
-        return self.status // 100 == 2 and bool(self.digest)
+        return self.status // 100 == 2 and bool(self.signature)
 
 
 class LossReason(Enum):
@@ -118,4 +118,4 @@
     headers: RawHeaders = ()
     retry_after: float | None = None
     missing: int = 0
-    digests: tuple[bytes, ...] = field(default=())
+    signatures: tuple[bytes, ...] = field(default=())
--- a/basilwall/standin/record_searcher.py
+++ b/basilwall/standin/record_searcher.py
@@ -1,7 +1,7 @@
 """A stand-in for a searcher of the users' platform.
 
-It answers with records and a digest, runs only what names it, and can be told
-to misbehave in each way that the platform's searchers do.
+It answers with records and a signature, runs only what names it, and can be
+told to misbehave in each way that the platform's searchers do.
 """
 
 import socket
@@ -97,8 +97,8 @@
         for connection in tuple(self._connections):
             _reset(connection)
 
-    def digest(self, request_id: bytes) -> bytes:
-        """Return the digest of the answer to one request."""
+    def signature(self, request_id: bytes) -> bytes:
+        """Return the signature of the answer to one request."""
         return b'.'.join((self.searcher_id.encode(), request_id))
 
     def _accept(self) -> None:
@@ -163,28 +163,30 @@
     def _answer(
         self,
         request_id: bytes,
-        digest: bytes,
+        signature: bytes,
         size: int | None,
     ) -> bytes:
-        head = _head(HTTP_OK, request_id, digest, size)
+        head = _head(HTTP_OK, request_id, signature, size)
         return b''.join((head, self.body))
 
     def _bytes(self, conduct: Conduct, request_id: bytes) -> bytes:
-        digest, size = self.digest(request_id), len(self.body)
-        answer = self._answer(request_id, digest, size)
+        signature, size = self.signature(request_id), len(self.body)
+        answer = self._answer(request_id, signature, size)
         other = self._answer(b'another', b'other', size)
         shed = (
             b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
         )
         by_conduct = {
             Conduct.SHED: shed,
-            Conduct.FAIL: _head(HTTP_ERROR, request_id, digest, 0),
-            Conduct.UNAVAILABLE: _head(HTTP_UNAVAILABLE, request_id, digest, 0),
+            Conduct.FAIL: _head(HTTP_ERROR, request_id, signature, 0),
+            Conduct.UNAVAILABLE: _head(
+                HTTP_UNAVAILABLE, request_id, signature, 0
+            ),
             Conduct.CUT_SHORT: answer[: -size // 2],
             Conduct.SPOIL: b'\x00\xffnothing of HTTP\r\n\r\n',
             Conduct.EXTRA_AFTER: b''.join((answer, other)),
             Conduct.OTHER_BEFORE: b''.join((other, answer)),
-            Conduct.UNFRAMED: self._answer(request_id, digest, None),
+            Conduct.UNFRAMED: self._answer(request_id, signature, None),
         }
         return by_conduct.get(conduct, answer)
 
@@ -217,12 +219,12 @@
 def _head(
     status: int,
     request_id: bytes,
-    digest: bytes,
+    signature: bytes,
     size: int | None,
 ) -> bytes:
     lines = [
         f'HTTP/1.1 {status} X'.encode(),
-        b''.join((b'Server-Stamp: ', digest)),
+        b''.join((b'Server-Stamp: ', signature)),
     ]
     if request_id:
         lines.append(b''.join((b'Request-Id: ', request_id)))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -133,23 +133,23 @@
         """Return what is wrong with a success, or an empty text."""
         if seen.kind == 'all':
             return self._wrong_merge(seen, response, body)
-        digest = response.getheader('Server-Stamp') or ''
-        searcher, _, request_id = digest.rpartition('.')
+        signature = response.getheader('Server-Stamp') or ''
+        searcher, _, request_id = signature.rpartition('.')
         if request_id != seen.request_id:
-            return f'the answer to another request: {digest}'
+            return f'the answer to another request: {signature}'
         return '' if body == self._body_of(searcher) else 'not the whole body'
 
     def _wrong_merge(self, seen, response, body):
-        digests = (response.getheader('Part-Stamps') or '').split(', ')
-        named = [one.rpartition('.') for one in digests]
+        signatures = (response.getheader('Part-Stamps') or '').split(', ')
+        named = [one.rpartition('.') for one in signatures]
         if {request_id for *_, request_id in named} != {seen.request_id}:
-            return f'a part of another request: {digests}'
+            return f'a part of another request: {signatures}'
         shards = {searcher.split('.')[0] for searcher, *_ in named}
         missing = int(response.getheader('Missing-Parts') or 0)
         if len(shards) != len(named) or not shards <= set(SHARDS):
-            return f'parts of the same shard: {digests}'
+            return f'parts of the same shard: {signatures}'
         if len(shards) + missing != len(SHARDS) or len(shards) < 3:
-            return f'coverage not as said: {digests}, {missing}'
+            return f'coverage not as said: {signatures}, {missing}'
         bodies = [self._body_of(searcher) for searcher, *_ in named]
         return '' if body == merge(bodies, TOP) else 'not the greatest records'
 
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -80,8 +80,8 @@
     answer = ask(stage.caller, request('/all/q'))
     headers, body = split(answer)
     assert status_of(answer) == 200
-    digests = set(headers[b'part-stamps'].split(b', '))
-    assert digests == {f'{one}.near.id-1'.encode() for one in SHARDS}
+    signatures = set(headers[b'part-stamps'].split(b', '))
+    assert signatures == {f'{one}.near.id-1'.encode() for one in SHARDS}
     assert headers[b'missing-parts'] == b'0'
     last = len(SHARDS) * 10
     assert body == record(last + 3) + record(last + 2) + record(last + 1)
--- a/tests/platform_golden_test.py
+++ b/tests/platform_golden_test.py
@@ -109,9 +109,9 @@
             near, far = (
                 stage.searcher_by_id[f'{service}.{zone}'] for zone in ZONES
             )
-            near.digest = far.digest = digest_of(service)
+            near.signature = far.signature = signature_of(service)
         assert '\n'.join(session(stage)) == GOLDEN.read_text()
 
 
-def digest_of(service):
+def signature_of(service):
     return lambda request_id: b'%b.%b' % (service.encode(), request_id)
