--- a/basilwall/forwarding/pools.py
+++ b/basilwall/forwarding/pools.py
@@ -48,7 +48,6 @@
         fleet_size: Callable[[], int],
         source: random.Random,
     ) -> None:
-        self.connects = 0
         self._deployment = deployment
         self._trips = trips
         self._clock = clock
@@ -92,7 +91,6 @@
                 kept = pool.idle.pop() if pool.idle else None
                 if kept is None:
                     pool.open_count += 1
-                    self.connects += 1
                     return SearcherConnection(searcher, self._clock)
             if kept.usable_until > now and not kept.has_input():
                 return kept
--- a/basilwall/platform/node.py
+++ b/basilwall/platform/node.py
@@ -49,8 +49,6 @@
 
 class _Store(msgspec.Struct):
     address: str
-    reads_per_s: float
-    history_s: float
 
 
 class _Node(msgspec.Struct):
@@ -63,7 +61,6 @@
     bounds: _Bounds
     platform: _Store
     seed_nodes: tuple[str, ...] = ()
-    heartbeat_ms: float = 1000
 
 
 def settings_path() -> Path:
@@ -105,7 +102,6 @@
         metrics_address=f'{node.ip}:{METRICS_PORT}',
         memory_mb=node.limits.memory_mb,
         descriptors=node.limits.max_fds,
-        heartbeat=node.heartbeat_ms / MILLISECONDS,
         bounds=_bounds(node.bounds),
     )
 
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -9,7 +9,7 @@
 import binascii
 import http.client
 import socket
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -55,6 +55,8 @@
     at: int
 
 
+DecodedT = TypeVar('DecodedT')
+
 _range_decoder = msgspec.json.Decoder(_Range)
 _changes_decoder = msgspec.json.Decoder(_Changes)
 
@@ -142,7 +144,11 @@
     open_socket.settimeout(timeout)
 
 
-def _decode(decoder, status: int, body: bytes):  # type: ignore[no-untyped-def]
+def _decode(
+    decoder: msgspec.json.Decoder[DecodedT],
+    status: int,
+    body: bytes,
+) -> DecodedT:
     if status != HTTP_OK:
         raise PlatformError(f'status {status}')
     try:
--- a/basilwall/settings/entry.py
+++ b/basilwall/settings/entry.py
@@ -25,5 +25,4 @@
     metrics_address: str
     memory_mb: int
     descriptors: int
-    heartbeat: float
     bounds: Bounds
