Hold the window budget's test to its exact bounds again

A step that is kept begins no earlier than the window and one step ago, so that is the bound.

Before: attempts of one more step counted on both sides. After: the exact window, 100 examples pass.

--- a/basilwall/parts/window_budget_test.py
+++ b/basilwall/parts/window_budget_test.py
@@ -36,11 +36,11 @@
         extra = len([one for one in self.extra_at if one > now - WINDOW])
         # A step is forgotten as a whole, up to its length later.
         began = now - WINDOW - STEP
-        first = len([one for one in self.first_at if one >= began - STEP])
+        first = len([one for one in self.first_at if one >= began])
         assert extra <= FRACTION * first + SLACK
         if not sent and not reserve:
             least = len([one for one in self.first_at if one > now - WINDOW])
-            most = len([one for one in self.extra_at if one >= began - STEP])
+            most = len([one for one in self.extra_at if one >= began])
             assert most + 1 > FRACTION * least + SLACK
 
     @rule(seconds=st.floats(0, 12))
