Rank VMs for rendezvous hashing in one place

The readers of the store and those of the product's own configuration service ranked addresses by the same lines, written twice. No change of behaviour.

--- a/basilwall/configuration/readers.py
+++ b/basilwall/configuration/readers.py
@@ -7,11 +7,9 @@
 own place. Lists that lag choose a few too many or too few, which does no harm.
 """
 
-import hashlib
-
 from basilwall.parts.membership import Member
+from basilwall.parts.rendezvous import ranked
 from basilwall.records.catalogue import FleetList, VmState
-from basilwall.records.ids import VmAddress
 
 #: Up to this many live VMs all read.
 ALL_READ_UP_TO = 64
@@ -35,12 +33,5 @@
     if not places:
         return True
     zone = places[0].zone
-    neighbours = sorted(
-        (vm.address for vm in live if vm.zone == zone),
-        key=_weight,
-    )
+    neighbours = ranked(vm.address for vm in live if vm.zone == zone)
     return own.address in neighbours[:READERS_A_ZONE]
-
-
-def _weight(address: VmAddress) -> bytes:
-    return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- a/basilwall/fleet/relaying.py
+++ b/basilwall/fleet/relaying.py
@@ -8,7 +8,6 @@
 the store itself. So nobody relies on a VM that is cut off from the store.
 """
 
-import hashlib
 import http.client
 import logging
 import math
@@ -25,6 +24,7 @@
 from basilwall.configuration.watching import PlatformWatch
 from basilwall.parts.clock import Clock
 from basilwall.parts.membership import Member, Membership
+from basilwall.parts.rendezvous import ranked
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.records.catalogue import PublishedValue
 from basilwall.records.ids import VmAddress
@@ -94,8 +94,7 @@
     }
     if len(beside) + 1 <= ALL_READ_UP_TO:
         return [own.address]
-    ranked = sorted({own.address, *beside}, key=_weight)
-    return ranked[:READERS_A_ZONE]
+    return ranked({own.address, *beside})[:READERS_A_ZONE]
 
 
 class RelayedReader(PlatformReader):
@@ -297,7 +296,3 @@
         return response.status, response.read()
     finally:
         connection.close()
-
-
-def _weight(address: VmAddress) -> bytes:
-    return hashlib.blake2b(address.encode(), digest_size=8).digest()
