Expect more time of searchers that often fail

Cause: a searcher that turned away three of five requests was tried again after each good reply, since one reply cleared its backoff.

Change: a standing keeps the share of its attempts that failed, half forgotten in 3 s, and counts 0.3 s for it in the expected time, so a farther searcher that answers goes first.

Ruled out: spending less of the budget on shards that an answer can do without, and on requests that lack many shards.

--- a/basilwall/routing/standing.py
+++ b/basilwall/routing/standing.py
@@ -36,6 +36,35 @@
 HIGHEST_BACKOFF = 2.0
 #: A searcher that has just started takes this many times as long.
 COLD_FACTOR = 1.6
+#: Weight of the newest attempt in the share of those that failed.
+FAILURE_SMOOTHING = 0.25
+#: That share is half forgotten after this time, in seconds.
+FAILURE_HALF_LIFE = 3.0
+#: What a failed attempt costs its request, in seconds: another one, which the
+#: budget may not allow.
+FAILURE_COST = 0.3
+
+
+class FadingShare:
+    """The share of attempts that failed lately, forgotten as time goes by."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._share: float = 0
+        self._counted_at = clock.monotonic()
+
+    def now(self) -> float:
+        """Return the share, from 0 to 1."""
+        if not self._share:
+            return 0
+        age = self._clock.monotonic() - self._counted_at
+        return self._share * math.pow(2, -age / FAILURE_HALF_LIFE)
+
+    def count(self, failed: int) -> None:
+        """Count one attempt; `failed` is 1 if it failed, else 0."""
+        former = self.now()
+        self._share = former + FAILURE_SMOOTHING * (failed - former)
+        self._counted_at = self._clock.monotonic()
 
 
 class Standing:
@@ -55,6 +84,7 @@
         self._refused_until = -math.inf
         self._backoff = FIRST_BACKOFF
         self._stuck_since = -math.inf
+        self._failures = FadingShare(clock)
         self._numbers = itertools.count()
         self._sent_at_by_number: dict[int, float] = {}
         self._lock = threading.Lock()
@@ -74,6 +104,7 @@
         now = self._clock.monotonic()
         queued = 1 + self.in_flight / self.searcher.slots
         seconds = self.trip + self._faded_work(now) * queued
+        seconds += self._failures.now() * FAILURE_COST
         if self.is_stuck(now):
             seconds += STUCK_PENALTY
         if now < self._refused_until:
@@ -112,6 +143,7 @@
             self.is_failing = False
             self._backoff = FIRST_BACKOFF
             self._refused_until = -math.inf
+            self._failures.count(0)
             self._work = _smoothed(self._faded_work(now), work)
             self._usual_work = _smoothed(self._usual_work, work)
             self._sampled_at = now
@@ -121,6 +153,7 @@
         now = self._clock.monotonic()
         self.is_failing = True
         with self._lock:
+            self._failures.count(1)
             if now < self._refused_until:
                 return
             self._refused_until = now + self._backoff
@@ -129,7 +162,9 @@
     def failed(self) -> None:
         """Take in that it broke off a reply or answered with a failure."""
         self.is_failing = True
-        self._stuck_since = self._clock.monotonic()
+        with self._lock:
+            self._failures.count(1)
+            self._stuck_since = self._clock.monotonic()
 
     def _faded_work(self, now: float) -> float:
         faded = math.pow(2, (self._sampled_at - now) / HALF_LIFE)
--- a/basilwall/routing/standing_test.py
+++ b/basilwall/routing/standing_test.py
@@ -2,7 +2,13 @@
 
 from basilwall.parts.clock import ManualClock
 from basilwall.records.searcher import Searcher
-from basilwall.routing.standing import FIRST_WORK, STUCK_FOR, Standing
+from basilwall.routing.standing import (
+    FAILURE_HALF_LIFE,
+    FIRST_BACKOFF,
+    FIRST_WORK,
+    STUCK_FOR,
+    Standing,
+)
 
 FAR_TRIP = 0.04
 NEAR_TRIP = 0.001
@@ -84,3 +90,26 @@
     assert cold.expected() > NEAR_TRIP + FIRST_WORK
     clock.advance(4)
     assert cold.expected() == NEAR_TRIP + FIRST_WORK
+
+
+def test_a_far_searcher_goes_before_a_near_one_that_often_fails():
+    clock = ManualClock()
+    near, far = make(clock), make(clock, FAR_TRIP)
+    for _ in range(8):
+        near.refused()
+        clock.advance(2 * FIRST_BACKOFF)
+        near.refused()
+        clock.advance(2 * FIRST_BACKOFF)
+        serve(clock, near, 0.01)
+    assert not near.is_refusing
+    assert near.expected() > far.expected()
+    clock.advance(5 * FAILURE_HALF_LIFE)
+    assert near.expected() < far.expected()
+
+
+def test_a_single_failure_is_soon_made_up_for():
+    clock = ManualClock()
+    near, far = make(clock), make(clock, FAR_TRIP)
+    near.failed()
+    serve(clock, near, 0.01, times=3)
+    assert near.expected() < far.expected()
