Part placing from connections, and requests from sockets

Cause: `forwarding/pools.py` chose searchers and kept connections, and a request's run made its socket exchanges itself, so that no policy could be played without a network.

Change: `routing/placing.py` chooses, `forwarding/pools.py` keeps connections, `forwarding/transport.py` says what carries attempts and `forwarding/sockets.py` does so over sockets. No decision changes. One fault went: closing a connection of a searcher's former life was counted against the pool of its new life.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -28,13 +28,14 @@
     RelayedReader,
     StoreKnowledge,
 )
+from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.crashes import CrashWatch
 from basilwall.forwarding.forwarder import Forwarder
-from basilwall.forwarding.leftovers import Leftovers
 from basilwall.forwarding.policy import Policy
 from basilwall.forwarding.pools import Pools
 from basilwall.forwarding.reporting import Reporting
 from basilwall.forwarding.senders import Senders
+from basilwall.forwarding.sockets import SocketTransport
 from basilwall.ingress.server import Ingress, StopState, ingress_server
 from basilwall.ingress.vm import EntryVm
 from basilwall.operators.log_queue import LogWriter, logging_to_stdout
@@ -52,6 +53,7 @@
 from basilwall.records.routes import CallerLimits
 from basilwall.routing.deployment import Deployment
 from basilwall.routing.place import RoundTrips
+from basilwall.routing.placing import Placing
 from basilwall.settings.current import CurrentSettings, SettingsError
 from basilwall.settings.entry import EntrySettings
 
@@ -245,26 +247,28 @@
 ) -> Ingress:
     settings, clock, tasks = current.value, BootClock(), fleet.tasks
     codec = HeaderCodec()
+    trips = RoundTrips(settings.place)
     pools = Pools(
         deployment,
-        RoundTrips(settings.place),
+        trips,
         clock,
         fleet.size,
-        source,
+        lambda searcher: SearcherConnection(searcher, clock),
     )
+    placing = Placing(deployment, trips, pools, clock, source)
     deployment.subscribe(pools.follow)
-    leftovers = Leftovers(pools, clock)
+    deployment.subscribe(placing.follow)
+    transport = SocketTransport(deployment, placing, pools, codec, clock)
     policy = Policy(lambda: current.value.bounds, fleet.size, clock)
     senders = Senders(
         deployment,
-        pools,
+        placing,
+        transport,
         policy,
-        leftovers,
         _crash_watch(deployment, fleet, clock, source),
-        codec,
         clock,
     )
-    tasks.start(partial(leftovers.run, tasks.stopping))
+    tasks.start(partial(transport.leftovers.run, tasks.stopping))
     tasks.start(partial(_keep_house, pools, policy, current, fleet))
     return Ingress(
         Forwarder(senders, reporting, source),
@@ -327,7 +331,7 @@
 
 
 def _keep_house(
-    pools: Pools,
+    pools: Pools[SearcherConnection],
     policy: Policy,
     current: CurrentSettings,
     fleet: Fleet,
--- a/basilwall/forwarding/connection.py
+++ b/basilwall/forwarding/connection.py
@@ -8,6 +8,7 @@
 import socket
 from contextlib import suppress
 
+from basilwall.forwarding.pools import PooledConnection
 from basilwall.parts.clock import Clock
 from basilwall.records.searcher import Searcher
 
@@ -19,7 +20,7 @@
 UNACKNOWLEDGED_MS = 4000
 
 
-class SearcherConnection:
+class SearcherConnection(PooledConnection):
     """A socket to one searcher that does not block."""
 
     def __init__(self, searcher: Searcher, clock: Clock) -> None:
@@ -28,7 +29,6 @@
         self.begun_at = clock.monotonic()
         self.usable_until = self.begun_at + DEFAULT_IDLE
         self.is_connected = False
-        #: How long it took to connect, in seconds, until somebody took note.
         self.connect_seconds: float | None = None
         host, _, port = searcher.address.rpartition(':')
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/basilwall/forwarding/crashes.py
+++ b/basilwall/forwarding/crashes.py
@@ -11,6 +11,7 @@
 import itertools
 import logging
 import threading
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from functools import partial
 
@@ -29,7 +30,25 @@
 _log = logging.getLogger(__name__)
 
 
-class CrashWatch:
+class ContentWatch(ABC):
+    """Judges contents by what became of the searchers that ran them."""
+
+    @abstractmethod
+    def is_quarantined(self, call: Call) -> bool:
+        """Return whether a request's content is known to crash searchers."""
+
+    @abstractmethod
+    def seconds_left(self, call: Call) -> float:
+        """Return how long the quarantine of a content lasts, in seconds."""
+
+    @abstractmethod
+    def saw(
+        self, call: Call, searcher: Searcher, outcome: AttemptResult
+    ) -> None:
+        """Take in how an attempt ended that was waited for to its end."""
+
+
+class CrashWatch(ContentWatch):
     """What this VM knows of contents that crash searchers."""
 
     def __init__(
--- a/basilwall/forwarding/exchange.py
+++ b/basilwall/forwarding/exchange.py
@@ -14,6 +14,7 @@
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.reply_reader import ReplyReader, WholeReply
+from basilwall.forwarding.transport import Attempt
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import (
     AttemptResult,
@@ -22,7 +23,6 @@
     Lost,
     Unsent,
 )
-from basilwall.records.ids import SearcherId
 
 READ_BYTES = 65_536
 
@@ -39,7 +39,7 @@
     READING = 'reading'
 
 
-class Exchange:
+class Exchange(Attempt):
     """One attempt on one connection.
 
     `advance` is called whenever the socket is ready; it returns the result
@@ -69,6 +69,7 @@
         self._may_send = may_send
         self.call = call
         self.connection = connection
+        self.searcher = connection.searcher
         self.sent_at = clock.monotonic()
         self.is_sent = False
         self.can_keep = False
@@ -80,11 +81,6 @@
         self._is_cut = False
         self._reader: ReplyReader | None = None
 
-    @property
-    def searcher(self) -> SearcherId:
-        """The searcher that the attempt is for."""
-        return self.connection.searcher.searcher_id
-
     @property
     def wants_write(self) -> bool:
         """True while the socket is waited for to take bytes."""
@@ -121,10 +117,10 @@
     def _failed(self, reason: LossReason, detail: str) -> AttemptResult:
         self.can_keep = False
         if self.is_sent:
-            return Lost(self.searcher, reason, detail)
+            return Lost(self.searcher.searcher_id, reason, detail)
         if self.stage is Stage.CONNECTING:
             reason = LossReason.NOT_CONNECTED
-        return Unsent(self.searcher, reason, detail)
+        return Unsent(self.searcher.searcher_id, reason, detail)
 
     def _begin(self) -> None:
         self.sent_at = self._clock.monotonic()
@@ -135,7 +131,7 @@
             self.call.method,
             partial(self._codec.belongs, self.call),
         )
-        sent = self._codec.attempt(self.call, self.searcher, left)
+        sent = self._codec.attempt(self.call, self.searcher.searcher_id, left)
         self._unsent = memoryview(sent)
         self.stage = Stage.SENDING
 
@@ -165,4 +161,5 @@
         is_whole = not (self._unsent or self._is_cut)
         self.can_keep = whole.is_clean and is_whole
         self.connection.used(self._codec.idle_limit(whole.head))
-        return self._codec.reply(self.searcher, whole.head, whole.body)
+        searcher_id = self.searcher.searcher_id
+        return self._codec.reply(searcher_id, whole.head, whole.body)
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -14,9 +14,10 @@
     Settling,
     ShardSettling,
     SingleSettling,
+    least_legs,
     least_shards,
 )
-from basilwall.forwarding.waiting import CallerLeftError, Waiter
+from basilwall.forwarding.transport import CallerLeftError
 from basilwall.records.forwarding import Answer, Call, Reply, Unsent, Verdict
 from basilwall.records.routes import Route, Scattering
 from basilwall.routing.turns import Turns
@@ -50,12 +51,12 @@
         self._turns = Turns()
         self._source = source
 
-    def serve(self, call: Call, caller: socket.socket) -> Answer:
+    def serve(self, call: Call, caller: socket.socket | None) -> Answer:
         """Bring a request to its final answer.
 
         Args:
             call: The whole request.
-            caller: The socket of its caller, watched for its end.
+            caller: The socket of its caller, watched for its end, if any.
 
         Returns:
             The answer; that of a caller who left is not sent.
@@ -76,15 +77,15 @@
         self,
         call: Call,
         route: Route,
-        caller: socket.socket,
+        caller: socket.socket | None,
         trail: Trail,
     ) -> Answer:
-        waiter = Waiter(caller)
+        waiting = self._senders.transport.waiting(caller)
         legs = self._legs(route)
-        run = Run(call, route, legs, self._senders, waiter, trail)
+        run = Run(call, route, legs, self._senders, waiting, trail)
         scattering = route.scattering
         refusal = self._refuse_quarantined(call)
-        refusal = refusal or self._refuse_hopeless(run.legs, scattering)
+        refusal = refusal or self._refuse_hopeless(run.legs, route)
         if refusal is not None:
             return refusal
         try:
@@ -112,13 +113,12 @@
     def _refuse_hopeless(
         self,
         legs: Sequence[Leg],
-        scattering: Scattering | None,
+        route: Route,
     ) -> Answer | None:
         """Refuse at once what too few listed searchers could serve."""
         deployment = self._senders.deployment
         served = sum(1 for leg in legs if deployment.searchers(leg.service))
-        needed = least_shards(scattering) if scattering else 1
-        if served >= needed:
+        if served >= least_legs(route):
             return None
         return self._refusal(Verdict.NO_SEARCHER, COME_BACK_NO_SEARCHER)
 
--- a/basilwall/forwarding/leftovers.py
+++ b/basilwall/forwarding/leftovers.py
@@ -6,12 +6,14 @@
 
 import queue
 import threading
+from collections.abc import Callable
 
 from basilwall.forwarding.exchange import Exchange
-from basilwall.forwarding.pools import Pools
+from basilwall.forwarding.transport import Attempt
 from basilwall.forwarding.waiting import Waiter
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import AttemptResult, LossReason, Reply
+from basilwall.routing.placing import Placing
 
 #: Longest wait for a reply that nobody needs any more, in seconds.
 PATIENCE = 1.0
@@ -21,11 +23,40 @@
 MAX_LEFTOVERS = 256
 
 
+def note_leftover(
+    placing: Placing,
+    attempt: Attempt,
+    number: int,
+    outcome: AttemptResult,
+    now: float,
+) -> None:
+    """Keep what the end of a leftover says of its searcher.
+
+    Args:
+        placing: Where it is kept.
+        attempt: The attempt.
+        number: What the standing of its searcher counts it by.
+        outcome: Its result.
+        now: The time in monotonic seconds.
+    """
+    standing = placing.standing(attempt.searcher)
+    standing.ended(number)
+    if isinstance(outcome, Reply) and outcome.is_success:
+        standing.replied(now - attempt.sent_at)
+
+
 class Leftovers:
     """The task that waits for replies that came too late to be used."""
 
-    def __init__(self, pools: Pools, clock: Clock) -> None:
-        self._pools = pools
+    def __init__(
+        self,
+        placing: Placing,
+        end: Callable[[Exchange], None],
+        clock: Clock,
+    ) -> None:
+        """Make a task; `end` keeps or closes a connection after its reply."""
+        self._placing = placing
+        self._end_exchange = end
         self._clock = clock
         self._waiter = Waiter()
         self._fresh: queue.SimpleQueue[tuple[Exchange, int]] = (
@@ -68,14 +99,9 @@
 
     def _end(self, exchange: Exchange, outcome: AttemptResult) -> None:
         number = self._number_by_exchange.pop(exchange)
-        standing = self._pools.standing(exchange.connection.searcher)
-        standing.ended(number)
-        if isinstance(outcome, Reply) and outcome.is_success:
-            standing.replied(self._clock.monotonic() - exchange.sent_at)
-        if exchange.can_keep:
-            self._pools.give_back(exchange.connection)
-        else:
-            self._pools.discard(exchange.connection)
+        now = self._clock.monotonic()
+        note_leftover(self._placing, exchange, number, outcome, now)
+        self._end_exchange(exchange)
 
     def _close_overdue(self) -> None:
         horizon = self._clock.monotonic() - PATIENCE
@@ -85,5 +111,5 @@
                 self._end(exchange, exchange.give_up(LossReason.TIMEOUT))
 
     def _close(self, exchange: Exchange, number: int) -> None:
-        self._pools.standing(exchange.connection.searcher).ended(number)
-        self._pools.discard(exchange.connection)
+        self._placing.standing(exchange.searcher).ended(number)
+        self._end_exchange(exchange)
--- a/basilwall/forwarding/leg.py
+++ b/basilwall/forwarding/leg.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from basilwall.forwarding.exchange import Exchange
+from basilwall.forwarding.transport import Attempt
 from basilwall.records.forwarding import AttemptResult, Reply, Unsent
 from basilwall.records.ids import SearcherId, ServiceName
 
@@ -17,7 +17,7 @@
 
     service: ServiceName
     hedge_at: float
-    number_by_exchange: dict[Exchange, int] = field(default_factory=dict)
+    number_by_attempt: dict[Attempt, int] = field(default_factory=dict)
     sent_to: set[SearcherId] = field(default_factory=set)
     passed_over: set[SearcherId] = field(default_factory=set)
     success: Reply | None = None
--- a/basilwall/forwarding/pools.py
+++ b/basilwall/forwarding/pools.py
@@ -1,43 +1,59 @@
-"""The connections of this VM to all searchers, and where attempts go.
+"""The connections of this VM to all searchers.
 
 The cap of a searcher counts the connections of all VMs together, so a VM
 keeps to its share of it. Connections are kept for the next attempt, the one
 used last on top, so that those not needed grow idle and are closed.
 """
 
-import logging
-import random
 import threading
-from collections.abc import Callable, Collection
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Generic, TypeVar
 
-from basilwall.forwarding.connection import SearcherConnection
 from basilwall.parts.clock import Clock
-from basilwall.records.ids import SearcherId, ServiceName
-from basilwall.records.searcher import Searcher
+from basilwall.records.ids import SearcherId
+from basilwall.records.searcher import Searcher, is_same_life
 from basilwall.routing.deployment import Deployment
 from basilwall.routing.place import RoundTrips
-from basilwall.routing.standing import Standing
+from basilwall.routing.placing import Room
 
 #: Part of the cap of connections that all VMs together aim to use.
 USED_OF_CAP = 0.85
-#: Expected times this close count as equal, as a factor.
-JITTER = 0.15
-#: Added to the expected time if no connection is free, in seconds.
-CROWDED_PENALTY = 0.05
 
-_log = logging.getLogger(__name__)
 
+class PooledConnection(ABC):
+    """A connection that can carry one attempt after the other.
 
-class SearcherPool:
+    `usable_until` is in monotonic seconds; `connect_seconds` is how long it
+    took to connect, None once somebody took note of it.
+    """
+
+    searcher: Searcher
+    usable_until: float
+    connect_seconds: float | None
+
+    @abstractmethod
+    def has_input(self) -> bool:
+        """Return whether bytes, or the end, came after the last reply."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close it; a searcher drops what it runs for it."""
+
+
+ConnectionT = TypeVar('ConnectionT', bound=PooledConnection)
+
+
+class _Pool(Generic[ConnectionT]):
     """The kept connections to one searcher."""
 
-    def __init__(self, standing: Standing) -> None:
-        self.standing = standing
+    def __init__(self, searcher: Searcher) -> None:
+        self.searcher = searcher
         self.open_count = 0
-        self.idle: list[SearcherConnection] = []
+        self.idle: list[ConnectionT] = []
 
 
-class Pools:
+class Pools(Room, Generic[ConnectionT]):
     """All pools, by the id of their searcher."""
 
     def __init__(
@@ -46,43 +62,17 @@
         trips: RoundTrips,
         clock: Clock,
         fleet_size: Callable[[], int],
-        source: random.Random,
+        connect: Callable[[Searcher], ConnectionT],
     ) -> None:
         self._deployment = deployment
         self._trips = trips
         self._clock = clock
         self._fleet_size = fleet_size
-        self._source = source
-        self._pool_by_id: dict[SearcherId, SearcherPool] = {}
+        self._connect = connect
+        self._pool_by_id: dict[SearcherId, _Pool[ConnectionT]] = {}
         self._lock = threading.Lock()
 
-    def pick(
-        self,
-        service: ServiceName,
-        tried: Collection[SearcherId],
-    ) -> Standing | None:
-        """Choose the searcher of a service that is expected to answer first.
-
-        Args:
-            service: The service.
-            tried: Searchers that the request was already sent to.
-
-        Returns:
-            A standing, or None if no searcher is left.
-        """
-        listed = self._deployment.searchers(service)
-        left = [one for one in listed if one.searcher_id not in tried]
-        if not left:
-            return None
-        trips = self._trips
-        standings = []
-        for searcher in left:
-            standing = self._pool(searcher).standing
-            standing.trip = trips.to_zone(searcher.zone)
-            standings.append(standing)
-        return min(standings, key=self._cost)
-
-    def checkout(self, searcher: Searcher) -> SearcherConnection:
+    def checkout(self, searcher: Searcher) -> ConnectionT:
         """Return a connection to a searcher, a kept one if there is any."""
         pool = self._pool(searcher)
         now = self._clock.monotonic()
@@ -91,20 +81,20 @@
                 kept = pool.idle.pop() if pool.idle else None
                 if kept is None:
                     pool.open_count += 1
-                    return SearcherConnection(searcher, self._clock)
+                    return self._connect(searcher)
             if kept.usable_until > now and not kept.has_input():
                 return kept
             self.discard(kept)
 
-    def give_back(self, connection: SearcherConnection) -> None:
+    def give_back(self, connection: ConnectionT) -> None:
         """Keep a connection whose reply was read to its end."""
         self._note_connect(connection)
         pool = self._pool_by_id.get(connection.searcher.searcher_id)
         is_kept = (
             pool is not None
             # The searcher may have started anew meanwhile.
-            and _is_same(connection.searcher, pool.standing.searcher)
-            and pool.open_count <= self._share(pool)
+            and is_same_life(connection.searcher, pool.searcher)
+            and pool.open_count <= self._share(pool.searcher)
         )
         if pool is None or not is_kept:
             self.discard(connection)
@@ -112,22 +102,19 @@
         with self._lock:
             pool.idle.append(connection)
 
-    def discard(self, connection: SearcherConnection) -> None:
+    def discard(self, connection: ConnectionT) -> None:
         """Close a connection."""
         connection.close()
-        pool = self._pool_by_id.get(connection.searcher.searcher_id)
-        if pool is not None:
+        searcher = connection.searcher
+        pool = self._pool_by_id.get(searcher.searcher_id)
+        if pool is not None and is_same_life(searcher, pool.searcher):
             with self._lock:
                 pool.open_count -= 1
 
-    def standing(self, searcher: Searcher) -> Standing:
-        """Return what this VM has seen of a searcher."""
-        return self._pool(searcher).standing
-
-    def has_room(self, standing: Standing) -> bool:
+    def has_room(self, searcher: Searcher) -> bool:
         """Return whether one more attempt keeps to this VM's share."""
-        pool = self._pool(standing.searcher)
-        return bool(pool.idle) or pool.open_count < self._share(pool)
+        pool = self._pool(searcher)
+        return bool(pool.idle) or pool.open_count < self._share(searcher)
 
     def follow(self) -> None:
         """Drop the pools of searchers that are listed no more."""
@@ -135,11 +122,8 @@
         with self._lock:
             gone = [
                 self._pool_by_id.pop(searcher_id)
-                for searcher_id in tuple(self._pool_by_id)
-                if not _is_same(
-                    listed.get(searcher_id),
-                    self._pool_by_id[searcher_id].standing.searcher,
-                )
+                for searcher_id, pool in tuple(self._pool_by_id.items())
+                if not is_same_life(listed.get(searcher_id), pool.searcher)
             ]
         for pool in gone:
             for connection in pool.idle:
@@ -158,40 +142,22 @@
         for connection in old:
             connection.close()
 
-    def _cost(self, standing: Standing) -> float:
-        spread = 1 + self._source.random() * JITTER
-        return standing.expected() * spread + self._crowding(standing)
-
-    def _crowding(self, standing: Standing) -> float:
-        """Return what waiting for a connection costs, in seconds."""
-        return 0 if self.has_room(standing) else standing.trip + CROWDED_PENALTY
-
-    def _note_connect(self, connection: SearcherConnection) -> None:
+    def _note_connect(self, connection: ConnectionT) -> None:
         seconds, connection.connect_seconds = connection.connect_seconds, None
         if seconds is not None:
             self._trips.note_connect(connection.searcher.zone, seconds)
 
-    def _share(self, pool: SearcherPool) -> int:
+    def _share(self, searcher: Searcher) -> int:
         table = self._deployment.table
-        service = pool.standing.searcher.service
+        service = searcher.service
         cap = table.connections_by_service.get(service, 1) if table else 1
         return max(1, int(cap * USED_OF_CAP / max(self._fleet_size(), 1)))
 
-    def _pool(self, searcher: Searcher) -> SearcherPool:
+    def _pool(self, searcher: Searcher) -> _Pool[ConnectionT]:
         pool = self._pool_by_id.get(searcher.searcher_id)
-        if pool is not None and _is_same(searcher, pool.standing.searcher):
+        if pool is not None and is_same_life(searcher, pool.searcher):
             return pool
-        trip = self._trips.to_zone(searcher.zone)
+        fresh = _Pool[ConnectionT](searcher)
         with self._lock:
-            fresh = SearcherPool(Standing(searcher, self._clock, trip))
             self._pool_by_id[searcher.searcher_id] = fresh
         return fresh
-
-
-def _is_same(listed: Searcher | None, known: Searcher) -> bool:
-    """Return whether an entry is that of the process that is known."""
-    return (
-        listed is not None
-        and listed.address == known.address
-        and listed.started_ms == known.started_ms
-    )
--- a/basilwall/forwarding/run.py
+++ b/basilwall/forwarding/run.py
@@ -6,16 +6,15 @@
 """
 
 from collections.abc import Sequence
-from functools import partial
+from typing import Any
 
-from basilwall.forwarding.exchange import Exchange
 from basilwall.forwarding.leg import Leg
 from basilwall.forwarding.policy import RESERVE
 from basilwall.forwarding.reporting import Step, Trail
 from basilwall.forwarding.rules import describe, rule_of
 from basilwall.forwarding.senders import Senders, note_result
 from basilwall.forwarding.settling import Settling
-from basilwall.forwarding.waiting import Waiter
+from basilwall.forwarding.transport import Attempt, Waiting
 from basilwall.records.forwarding import (
     AttemptResult,
     Call,
@@ -42,7 +41,7 @@
         route: Route,
         legs: Sequence[Leg],
         senders: Senders,
-        waiter: Waiter,
+        waiting: Waiting[Any],
         trail: Trail,
     ) -> None:
         self.legs = legs
@@ -50,11 +49,11 @@
         self._call = call
         self._route = route
         self._senders = senders
-        self._waiter = waiter
+        self._waiting = waiting
         self._clock = senders.clock
         self._hedge = senders.policy.hedge(route)
         self._may_repeat = route.repeat is Repeat.IDEMPOTENT
-        self._leg_by_exchange: dict[Exchange, Leg] = {}
+        self._leg_by_attempt: dict[Attempt, Leg] = {}
         self._deadline = min(
             call.expires_at,
             call.received_at + route.longest_wait,
@@ -77,8 +76,8 @@
             hedges = [one.hedge_at for one in self.legs if one.is_open]
             wake_at = min(settling.looks_at(now), *hedges)
             ended = False
-            for exchange, outcome in self._waiter.wait(wake_at - now):
-                self._take(exchange, outcome)
+            for attempt, outcome in self._waiting.wait(wake_at - now):
+                self._take(attempt, outcome)
                 ended = True
             # Replies that are here but not read yet must not count as late.
             if not ended:
@@ -90,11 +89,11 @@
         Args:
             caller_left: Cut it off, so that its searchers stop work on it.
         """
-        for exchange, leg in tuple(self._leg_by_exchange.items()):
-            self._release(exchange, leg, cut=caller_left)
+        for attempt, leg in tuple(self._leg_by_attempt.items()):
+            self._release(attempt, leg, cut=caller_left)
 
     def _send_or_end(self, leg: Leg) -> None:
-        if not self._send(leg) and not leg.number_by_exchange:
+        if not self._send(leg) and not leg.number_by_attempt:
             leg.has_ended = True
 
     def _send(self, leg: Leg) -> bool:
@@ -103,23 +102,16 @@
         if standing is None:
             return False
         searcher = standing.searcher
-        connection = self._senders.pools.checkout(searcher)
-        exchange = Exchange(
-            self._call,
-            connection,
-            self._senders.codec,
-            self._clock,
-            self._deadline,
-            partial(self._senders.deployment.is_usable, searcher),
-        )
+        transport = self._senders.transport
+        attempt = transport.begin(self._call, searcher, self._deadline)
         self._trail.attempts += 1
         leg.sent_to.add(searcher.searcher_id)
-        leg.number_by_exchange[exchange] = standing.sent()
+        leg.number_by_attempt[attempt] = standing.sent()
         leg.hedge_at = self._hedge_time(standing)
-        self._leg_by_exchange[exchange] = leg
-        outcome = self._waiter.add(exchange)
+        self._leg_by_attempt[attempt] = leg
+        outcome = self._waiting.add(attempt)
         if outcome is not None:
-            self._take(exchange, outcome)
+            self._take(attempt, outcome)
         return True
 
     def _pick(self, leg: Leg) -> Standing | None:
@@ -130,7 +122,7 @@
         if len(leg.passed_over) >= MAX_PASSED_OVER:
             return None
         tried = leg.sent_to | leg.passed_over
-        return self._senders.pools.pick(leg.service, tried)
+        return self._senders.placing.pick(leg.service, tried)
 
     def _hedge_time(self, standing: Standing) -> float:
         if not self._may_repeat:
@@ -147,8 +139,8 @@
             self._hedge_leg(leg)
 
     def _hedge_leg(self, leg: Leg) -> None:
-        late = next(iter(leg.number_by_exchange), None)
-        searcher = late.searcher if late else NOBODY
+        late = next(iter(leg.number_by_attempt), None)
+        searcher = late.searcher.searcher_id if late else NOBODY
         budget = self._senders.policy.budget(leg.service)
         if self._pick(leg) is None:
             self._step(leg, searcher, 'late, no other searcher for a hedge')
@@ -162,12 +154,12 @@
         after = self._clock.monotonic() - self._call.received_at
         self._trail.add(Step(after, leg.service, searcher, what))
 
-    def _take(self, exchange: Exchange, outcome: AttemptResult) -> None:
-        leg = self._leg_by_exchange[exchange]
-        searcher = exchange.connection.searcher
+    def _take(self, attempt: Attempt, outcome: AttemptResult) -> None:
+        leg = self._leg_by_attempt[attempt]
+        searcher = attempt.searcher
         self._senders.crashes.saw(self._call, searcher, outcome)
-        note_result(self._senders, self._hedge, exchange, outcome)
-        self._release(exchange, leg, has_ended=True)
+        note_result(self._senders, self._hedge, attempt, outcome)
+        self._release(attempt, leg, has_ended=True)
         if leg.has_ended:
             return
         rule = rule_of(self._route.repeat, outcome)
@@ -179,14 +171,13 @@
         self._step(leg, outcome.searcher, describe(outcome))
         if not rule.may_repeat:
             leg.has_ended = True
-        elif not leg.number_by_exchange:
+        elif not leg.number_by_attempt:
             self._try_again(leg, is_free=rule.is_free)
 
     def _try_again(self, leg: Leg, *, is_free: bool) -> None:
         budget = self._senders.policy.budget(leg.service)
         has_attempts = len(leg.sent_to) < self._route.attempts
-        may_send = is_free or (has_attempts and budget.spend())
-        if may_send:
+        if is_free or (has_attempts and budget.spend()):
             self._send_or_end(leg)
         else:
             leg.has_ended = True
@@ -194,30 +185,28 @@
     def _succeed(self, leg: Leg, reply: Reply) -> None:
         leg.success = reply
         leg.has_ended = True
-        for exchange in tuple(leg.number_by_exchange):
-            self._release(exchange, leg)
+        for attempt in tuple(leg.number_by_attempt):
+            self._release(attempt, leg)
 
     def _release(
         self,
-        exchange: Exchange,
+        attempt: Attempt,
         leg: Leg,
         *,
         has_ended: bool = False,
         cut: bool = False,
     ) -> None:
-        number = leg.number_by_exchange.pop(exchange)
-        self._leg_by_exchange.pop(exchange)
-        pools = self._senders.pools
-        self._waiter.drop(exchange)
+        number = leg.number_by_attempt.pop(attempt)
+        self._leg_by_attempt.pop(attempt)
+        standing = self._senders.placing.standing(attempt.searcher)
+        transport = self._senders.transport
+        self._waiting.drop(attempt)
         if not has_ended and not cut:
-            waited = self._clock.monotonic() - exchange.sent_at
+            waited = self._clock.monotonic() - attempt.sent_at
             self._hedge.observe(waited)
-            self._senders.leftovers.take(exchange, number)
+            transport.leave(attempt, number)
             return
         if cut:
-            exchange.give_up(LossReason.TIMEOUT)
-        pools.standing(exchange.connection.searcher).ended(number)
-        if has_ended and exchange.can_keep:
-            pools.give_back(exchange.connection)
-        else:
-            pools.discard(exchange.connection)
+            attempt.give_up(LossReason.TIMEOUT)
+        standing.ended(number)
+        transport.end(attempt)
--- a/basilwall/forwarding/senders.py
+++ b/basilwall/forwarding/senders.py
@@ -2,19 +2,18 @@
 
 import logging
 from dataclasses import dataclass
+from typing import Any
 
-from basilwall.forwarding.codec import AttemptCodec
-from basilwall.forwarding.crashes import CrashWatch
-from basilwall.forwarding.exchange import Exchange
-from basilwall.forwarding.leftovers import Leftovers
+from basilwall.forwarding.crashes import ContentWatch
 from basilwall.forwarding.policy import Policy
-from basilwall.forwarding.pools import Pools
 from basilwall.forwarding.rules import Blame, describe, rule_of
+from basilwall.forwarding.transport import Attempt, Transport
 from basilwall.parts.clock import Clock
 from basilwall.parts.hedge import HedgeDelay
 from basilwall.records.forwarding import AttemptResult, Reply
 from basilwall.records.routes import Repeat
 from basilwall.routing.deployment import Deployment
+from basilwall.routing.placing import Placing
 from basilwall.routing.standing import Standing
 
 _log = logging.getLogger(__name__)
@@ -25,18 +24,17 @@
     """What every run sends with."""
 
     deployment: Deployment
-    pools: Pools
+    placing: Placing
+    transport: Transport[Any]
     policy: Policy
-    leftovers: Leftovers
-    crashes: CrashWatch
-    codec: AttemptCodec
+    crashes: ContentWatch
     clock: Clock
 
 
 def note_result(
     senders: Senders,
     hedge: HedgeDelay,
-    exchange: Exchange,
+    attempt: Attempt,
     outcome: AttemptResult,
 ) -> None:
     """Keep what the result of an attempt says of its searcher.
@@ -44,10 +42,10 @@
     Args:
         senders: Where it is kept.
         hedge: The delay of the route, which learns how long replies take.
-        exchange: The attempt.
+        attempt: The attempt.
         outcome: Its result.
     """
-    standing = senders.pools.standing(exchange.connection.searcher)
+    standing = senders.placing.standing(attempt.searcher)
     was_failing = standing.is_failing
     blame = rule_of(Repeat.IDEMPOTENT, outcome).blame
     if blame is Blame.NO_ROOM:
@@ -55,7 +53,7 @@
     elif blame is Blame.FAULTY:
         standing.failed()
     elif isinstance(outcome, Reply):
-        seconds = senders.clock.monotonic() - exchange.sent_at
+        seconds = senders.clock.monotonic() - attempt.sent_at
         standing.replied(seconds)
         hedge.observe(max(seconds - standing.trip, 0))
     if standing.is_failing is not was_failing:
--- a/basilwall/forwarding/settling.py
+++ b/basilwall/forwarding/settling.py
@@ -88,6 +88,11 @@
         return self._ends_at
 
 
+def least_legs(route: Route) -> int:
+    """Return how many services must reply for there to be an answer."""
+    return least_shards(route.scattering) if route.scattering else 1
+
+
 def least_shards(scattering: Scattering) -> int:
     """Return how many shards an answer holds at least, never none."""
     share = scattering.least_share * len(scattering.shards)
--- a/basilwall/forwarding/waiting.py
+++ b/basilwall/forwarding/waiting.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from basilwall.forwarding.exchange import Exchange
+from basilwall.forwarding.transport import CallerLeftError, Waiting
 from basilwall.records.forwarding import AttemptResult
 
 MILLISECONDS = 1000
@@ -13,11 +14,7 @@
 _LEFT = select.POLLHUP | select.POLLERR | select.POLLRDHUP
 
 
-class CallerLeftError(Exception):
-    """The caller closed its connection before its answer."""
-
-
-class Waiter:
+class Waiter(Waiting[Exchange]):
     """The sockets that one request waits on."""
 
     def __init__(self, caller: socket.socket | None = None) -> None:
@@ -34,20 +31,20 @@
         """The attempts that are waited for."""
         return list(self._exchange_by_descriptor.values())
 
-    def add(self, exchange: Exchange) -> AttemptResult | None:
+    def add(self, attempt: Exchange) -> AttemptResult | None:
         """Start an attempt; returns its result if it failed at once."""
         result = None
-        if exchange.connection.is_connected:
-            result = exchange.advance()
+        if attempt.connection.is_connected:
+            result = attempt.advance()
         if result is None:
-            descriptor = exchange.connection.socket.fileno()
-            self._exchange_by_descriptor[descriptor] = exchange
-            self._poll.register(descriptor, _interest(exchange))
+            descriptor = attempt.connection.socket.fileno()
+            self._exchange_by_descriptor[descriptor] = attempt
+            self._poll.register(descriptor, _interest(attempt))
         return result
 
-    def drop(self, exchange: Exchange) -> None:
+    def drop(self, attempt: Exchange) -> None:
         """Wait for an attempt no more."""
-        descriptor = exchange.connection.socket.fileno()
+        descriptor = attempt.connection.socket.fileno()
         if self._exchange_by_descriptor.pop(descriptor, None) is not None:
             self._poll.unregister(descriptor)
 
--- a/basilwall/records/searcher.py
+++ b/basilwall/records/searcher.py
@@ -27,3 +27,20 @@
     is_leaving: bool
     cold_for: float
     started_ms: int
+
+
+def is_same_life(listed: Searcher | None, known: Searcher) -> bool:
+    """Return whether an entry is that of the process that is known.
+
+    Args:
+        listed: The entry as it stands now, None if there is none.
+        known: What was listed before under the same id.
+
+    Returns:
+        False if the searcher is gone, moved or was started anew.
+    """
+    return (
+        listed is not None
+        and listed.address == known.address
+        and listed.started_ms == known.started_ms
+    )
