Play deployments in virtual time with the product's own decisions

Change: `basilwall simulate` plays placing, hedging, budgets, settling and refusals against a model of searchers (slots, queue, pauses, speed, five kinds of trouble), of distances and of callers.

--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -22,6 +22,7 @@
 from basilwall.platform.node import read_node_file
 from basilwall.settings.current import SettingsError
 from basilwall.settings.model import load_settings
+from basilwall.simulation.commands import simulate_command
 from basilwall.standin.commands import standin_app
 from basilwall.standin.demo import demo_vm, run_demo
 from basilwall.wiring import KeyFileError, running_vm
@@ -31,6 +32,7 @@
 app.add_typer(check_app, name='check', help='Check a file.')
 app.add_typer(standin_app, name='standin', help='Run stand-ins.')
 app.command('load')(load_command)
+app.command('simulate')(simulate_command)
 
 #: What makes a file one that can't be used.
 FILE_ERRORS = (CheckError, SettingsError, OSError, UnicodeDecodeError)
--- /dev/null
+++ b/basilwall/simulation/transport.py
@@ -0,0 +1,264 @@
+"""Carries attempts to model searchers, in virtual time."""
+
+import socket
+from collections.abc import Callable, Iterator, Mapping
+from functools import partial
+
+from basilwall.forwarding.leftovers import PATIENCE, note_leftover
+from basilwall.forwarding.pools import PooledConnection, Pools
+from basilwall.forwarding.transport import Attempt, Transport, Waiting
+from basilwall.records.forwarding import (
+    AttemptResult,
+    Call,
+    LossReason,
+    Lost,
+    Reply,
+    Unsent,
+)
+from basilwall.records.ids import SearcherId
+from basilwall.records.searcher import Searcher
+from basilwall.routing.placing import Placing
+from basilwall.simulation.searchers import Job, ModelSearcher
+from basilwall.simulation.virtual_time import Task, VirtualTime
+
+#: How long a searcher keeps an idle connection, in seconds.
+IDLE_LIMIT = 4
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
+
+
+class ModelConnection(PooledConnection):
+    """A connection that is there as soon as it was once used."""
+
+    def __init__(self, searcher: Searcher, time: VirtualTime) -> None:
+        self.searcher = searcher
+        self.usable_until = time.monotonic() + IDLE_LIMIT
+        self.connect_seconds = None
+        self.is_connected = False
+
+    def has_input(self) -> bool:
+        """Return False: the model's searchers send nothing unasked."""
+        return False
+
+    def close(self) -> None:
+        """Do nothing; an attempt that is given up tells its searcher."""
+
+
+class ModelAttempt(Attempt, Job):
+    """One attempt, and the job that its searcher makes of it.
+
+    `is_over` is True once the result has come back or was given up. `trip` is
+    the round trip to the searcher and `connect` what a connection takes beside
+    it, in seconds.
+    """
+
+    def __init__(
+        self,
+        at: ModelSearcher,
+        connection: ModelConnection,
+        time: VirtualTime,
+        work: float,
+        trip: float,
+        connect: float,
+    ) -> None:
+        self.searcher = at.listed
+        self.connection = connection
+        self.sent_at = time.monotonic()
+        self.is_sent = False
+        self.can_keep = False
+        self.work = work
+        #: Told the result, once, when it has come back.
+        self.told: Callable[[ModelAttempt, AttemptResult], None] = _tell_nobody
+        self._at = at
+        self._time = time
+        self._trip = trip
+        self._connect = connect
+        self.is_over = False
+
+    def start(self) -> None:
+        """Connect if need be, and send."""
+        if self.connection.is_connected:
+            self._send()
+        else:
+            self._time.after(self._trip + self._connect, self._finish_connect)
+
+    def give_up(self, reason: LossReason) -> AttemptResult:
+        """End the attempt; its searcher learns of it half a trip later."""
+        self.is_over = True
+        self.can_keep = False
+        if not self.is_sent:
+            return Unsent(self._name, reason)
+        self._time.after(self._trip / 2, partial(self._at.cancel, self))
+        return Lost(self._name, reason)
+
+    def answered(self) -> None:
+        """Send the whole answer back."""
+        self._reply(HTTP_OK, has_run=True)
+
+    def failed(self) -> None:
+        """Send a failure back."""
+        self._reply(HTTP_SERVER_ERROR, has_run=True)
+
+    def refused(self) -> None:
+        """Send a refusal back."""
+        self._reply(HTTP_UNAVAILABLE, has_run=False)
+
+    def cut(self) -> None:
+        """Send the end of the connection back."""
+        self._end_later(Lost(self._name, LossReason.CUT))
+
+    @property
+    def _name(self) -> SearcherId:
+        return self.searcher.searcher_id
+
+    def _finish_connect(self) -> None:
+        if not self.is_over:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        if self._at.is_down:
+            self._end(Unsent(self._name, LossReason.NOT_CONNECTED))
+        else:
+            self.connection.is_connected = True
+            self._send()
+
+    def _send(self) -> None:
+        self.is_sent = True
+        self.sent_at = self._time.monotonic()
+        self._time.after(self._trip / 2, partial(self._at.arrive, self))
+
+    def _reply(self, status: int, *, has_run: bool) -> None:
+        reply = Reply(
+            self._name, status, b'', (), b'', b'signature', has_run, False
+        )
+        self._end_later(reply)
+
+    def _end_later(self, outcome: AttemptResult) -> None:
+        self._time.after(self._trip / 2, partial(self._end, outcome))
+
+    def _end(self, outcome: AttemptResult) -> None:
+        if not self.is_over:
+            self.is_over = True
+            self.can_keep = isinstance(outcome, Reply)
+            self.connection.usable_until = self._time.monotonic() + IDLE_LIMIT
+            self.told(self, outcome)
+
+
+class ModelWaiting(Waiting[ModelAttempt]):
+    """The attempts that one request waits on; `task` runs the request."""
+
+    def __init__(self, time: VirtualTime, task: Task) -> None:
+        self._time = time
+        self._task = task
+        self._open: set[ModelAttempt] = set()
+        self._ended: list[tuple[ModelAttempt, AttemptResult]] = []
+        self._sleeps = 0
+        self._is_asleep = False
+
+    def add(self, attempt: ModelAttempt) -> None:
+        """Start an attempt; its result comes later."""
+        self._open.add(attempt)
+        attempt.told = self._take
+        attempt.start()
+
+    def drop(self, attempt: ModelAttempt) -> None:
+        """Wait for an attempt no more."""
+        self._open.discard(attempt)
+
+    def wait(
+        self,
+        seconds: float,
+    ) -> Iterator[tuple[ModelAttempt, AttemptResult]]:
+        """Wait for results, `seconds` at most, and yield them."""
+        if not self._ended:
+            self._sleeps += 1
+            self._is_asleep = True
+            self._time.after(max(seconds, 0), partial(self._wake, self._sleeps))
+            self._task.pause()
+        ended, self._ended = self._ended, []
+        for attempt, outcome in ended:
+            if attempt in self._open:
+                self._open.remove(attempt)
+                yield attempt, outcome
+
+    def _take(self, attempt: ModelAttempt, outcome: AttemptResult) -> None:
+        self._ended.append((attempt, outcome))
+        self._wake(self._sleeps)
+
+    def _wake(self, sleep: int) -> None:
+        if self._is_asleep and sleep == self._sleeps:
+            self._is_asleep = False
+            self._task.resume()
+
+
+class ModelTransport(Transport[ModelAttempt]):
+    """The attempts of one VM."""
+
+    def __init__(
+        self,
+        searchers: Mapping[SearcherId, ModelSearcher],
+        placing: Placing,
+        pools: Pools[ModelConnection],
+        time: VirtualTime,
+        connect: float,
+    ) -> None:
+        """Make a transport; a connection takes `connect` seconds to make."""
+        #: The task of the request that begins next.
+        self.task: Task | None = None
+        self._searcher_by_id = searchers
+        self._placing = placing
+        self._pools = pools
+        self._time = time
+        self._connect = connect
+
+    def waiting(self, caller: socket.socket | None) -> ModelWaiting:
+        """Return what the request of the current task waits with."""
+        if self.task is None:
+            raise RuntimeError('no task was given')
+        return ModelWaiting(self._time, self.task)
+
+    def begin(
+        self, call: Call, searcher: Searcher, deadline: float
+    ) -> ModelAttempt:
+        """Prepare an attempt; the body of the call says its work time."""
+        return ModelAttempt(
+            self._searcher_by_id[searcher.searcher_id],
+            self._pools.checkout(searcher),
+            self._time,
+            float(call.body),
+            self._placing.standing(searcher).trip,
+            self._connect,
+        )
+
+    def end(self, attempt: ModelAttempt) -> None:
+        """Keep the connection of an attempt that ended, if it can be kept."""
+        if attempt.can_keep:
+            self._pools.give_back(attempt.connection)
+        else:
+            self._pools.discard(attempt.connection)
+
+    def leave(self, attempt: ModelAttempt, number: int) -> None:
+        """Wait a little for a reply that the request needs no more."""
+        if not attempt.is_sent:
+            self._give_up(attempt, number)
+            return
+        attempt.told = partial(self._end_left, number)
+        overdue_at = attempt.sent_at + PATIENCE
+        self._time.at(overdue_at, partial(self._give_up, attempt, number))
+
+    def _end_left(
+        self, number: int, attempt: ModelAttempt, outcome: AttemptResult
+    ) -> None:
+        now = self._time.monotonic()
+        note_leftover(self._placing, attempt, number, outcome, now)
+        self.end(attempt)
+
+    def _give_up(self, attempt: ModelAttempt, number: int) -> None:
+        if not attempt.is_over:
+            outcome = attempt.give_up(LossReason.TIMEOUT)
+            self._end_left(number, attempt, outcome)
+
+
+def _tell_nobody(attempt: ModelAttempt, outcome: AttemptResult) -> None:
+    """Stand in until somebody waits for the attempt."""
