Prefer searchers with a kept connection among far ones

Cause: two searchers in other regions are expected to take the same time, and the one without a connection costs a round trip more. Attempts went to either, so connections were idle for long, ended and were made anew.

Change: the cost of an attempt counts the connection: nothing if one is free, else a round trip and the searcher's 6 ms.

--- a/basilwall/forwarding/pools.py
+++ b/basilwall/forwarding/pools.py
@@ -111,10 +111,13 @@
             with self._lock:
                 pool.open_count -= 1
 
+    def has_idle(self, searcher: Searcher) -> bool:
+        """Return whether a kept connection is free."""
+        return bool(self._pool(searcher).idle)
+
     def has_room(self, searcher: Searcher) -> bool:
-        """Return whether one more attempt keeps to this VM's share."""
-        pool = self._pool(searcher)
-        return bool(pool.idle) or pool.open_count < self._share(searcher)
+        """Return whether one more connection keeps to this VM's share."""
+        return self._pool(searcher).open_count < self._share(searcher)
 
     def follow(self) -> None:
         """Drop the pools of searchers that are listed no more."""
--- a/basilwall/routing/placing.py
+++ b/basilwall/routing/placing.py
@@ -19,16 +19,23 @@
 
 #: Expected times this close count as equal, as a factor.
 JITTER = 0.15
-#: Added to the expected time if no connection is free, in seconds.
+#: What a searcher takes for a new connection, in seconds; the users' sheets
+#: say 1 to 6 ms.
+HANDSHAKE = 0.006
+#: Added instead if this VM has its share of connections already, in seconds.
 CROWDED_PENALTY = 0.05
 
 
 class Room(ABC):
     """Tells whether a connection to a searcher is to be had."""
 
+    @abstractmethod
+    def has_idle(self, searcher: Searcher) -> bool:
+        """Return whether a kept connection is free."""
+
     @abstractmethod
     def has_room(self, searcher: Searcher) -> bool:
-        """Return whether one more attempt keeps to this VM's share."""
+        """Return whether one more connection keeps to this VM's share."""
 
 
 class Placing:
@@ -94,10 +101,12 @@
 
     def _cost(self, standing: Standing) -> float:
         spread = 1 + self._source.random() * JITTER
-        return standing.expected() * spread + self._crowding(standing)
+        return standing.expected() * spread + self._connecting(standing)
 
-    def _crowding(self, standing: Standing) -> float:
-        """Return what waiting for a connection costs, in seconds."""
-        if self._room.has_room(standing.searcher):
+    def _connecting(self, standing: Standing) -> float:
+        """Return what a connection costs beside the attempt, in seconds."""
+        if self._room.has_idle(standing.searcher):
             return 0
+        if self._room.has_room(standing.searcher):
+            return standing.trip + HANDSHAKE
         return standing.trip + CROWDED_PENALTY
