--- a/basilwall/configuration/watching.py
+++ b/basilwall/configuration/watching.py
@@ -24,9 +24,6 @@
 #: Pause after a failed watch, doubled up to the highest, in seconds.
 FIRST_PAUSE = 0.2
 HIGHEST_PAUSE = 2.0
-#: The same until the first read, in seconds: a VM that knows nothing can serve
-#: nobody.
-HIGHEST_FIRST_PAUSE = 0.6
 LEAST_JITTER = 0.5
 MOST_JITTER = 1.5
 #: Least time between two watches that returned values, in seconds.
@@ -135,9 +132,7 @@
             return FIRST_PAUSE
         jitter = self._source.uniform(LEAST_JITTER, MOST_JITTER)
         stopping.wait(pause * jitter)
-        knows_something = self.health.first_read.is_set()
-        highest = HIGHEST_PAUSE if knows_something else HIGHEST_FIRST_PAUSE
-        return min(pause * 2, highest)
+        return min(pause * 2, HIGHEST_PAUSE)
 
     def _take(self, reply: WatchReply) -> None:
         for published in reply.values:
