End a wait while the caller is still there to read the answer

Cause: a request that waits to the end of its time ended at its caller's deadline, and the answer came after the caller had left.

Test: settling_test.py, failing before.

--- a/basilwall/forwarding/settling.py
+++ b/basilwall/forwarding/settling.py
@@ -37,10 +37,7 @@
     """A request to one service: its reply, or its deadline."""
 
     def __init__(self, call: Call, route: Route) -> None:
-        self._ends_at = min(
-            call.expires_at,
-            call.received_at + route.longest_wait,
-        )
+        self._ends_at = _last_moment(call, route)
 
     def is_settled(self, legs: Sequence[Leg], now: float) -> bool:
         """Return whether all attempts ended or the time is up."""
@@ -62,10 +59,7 @@
     ) -> None:
         self._needed = least_shards(scattering)
         self._total = len(scattering.shards)
-        self._ends_at = min(
-            call.expires_at,
-            call.received_at + route.longest_wait,
-        )
+        self._ends_at = _last_moment(call, route)
         self._in_time_until = min(
             call.received_at + route.target_latency - WAY_BACK,
             self._ends_at - WAY_BACK,
@@ -88,6 +82,14 @@
         return self._ends_at
 
 
+def _last_moment(call: Call, route: Route) -> float:
+    """Return when the answer must leave for its caller to be still there."""
+    return min(
+        call.expires_at - WAY_BACK,
+        call.received_at + route.longest_wait,
+    )
+
+
 def least_legs(route: Route) -> int:
     """Return how many services must reply for there to be an answer."""
     return least_shards(route.scattering) if route.scattering else 1
--- a/basilwall/forwarding/settling_test.py
+++ b/basilwall/forwarding/settling_test.py
@@ -1,5 +1,7 @@
 """When a request to many shards is settled."""
 
+import dataclasses
+
 import pytest
 
 from basilwall.forwarding.leg import Leg
@@ -84,6 +86,17 @@
     assert least_shards(Scattering(SHARDS[:count], 5, least)) == needed
 
 
+@pytest.mark.parametrize('kind', [SingleSettling, ShardSettling])
+def test_the_final_answer_leaves_while_its_caller_is_there(kind):
+    short = dataclasses.replace(call(), expires_at=START + 1)
+    made = route()
+    others = () if kind is SingleSettling else (made.scattering,)
+    settling = kind(short, made, *others)
+    waiting = legs(0)
+    assert not settling.is_settled(waiting, START + 1 - 2 * WAY_BACK)
+    assert settling.is_settled(waiting, START + 1 - WAY_BACK)
+
+
 def test_a_single_request_waits_for_its_reply_or_its_deadline():
     made = Route(
         'r',
