Log where changes of the store come from, how old and how large they are

Callers of the grown deployments saw a document late, and the logs could not tell three causes apart: 'route table in force' says when a VM had it, not from whom, how old the source was or how long the transfer took; a lower revision was taken in silence. No logic changes.

New: 'changes received' (source, revisions, age, bytes, seconds; one line for a reply that has changes), 'revision of the platform went back', and gauges for the age of what a VM knows and the version of its routes.

--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -157,6 +157,11 @@
         if reply.is_whole:
             self._remove_unlisted(reply)
             self.complete_since = reply.revision
+        if reply.revision < self._after:
+            _log.info(
+                'revision of the platform went back',
+                extra={'former': self._after, 'revision': reply.revision},
+            )
         # The cursor follows the platform even if its revision goes down after
         # a restart: the register ignores values that it has already.
         self._after = max(reply.revision, 0)
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -111,7 +111,7 @@
         store_age = store_access.freshness.age_seconds
         reporting = RequestReporter(metrics, clock.monotonic, store_age)
         ingress = _build_ingress(current, routing_state, fleet, reporting, rng)
-        _register_gauges(metrics, ingress, fleet, store_access)
+        _register_gauges(metrics, ingress, fleet, store_access, routing_state)
         tasks.start(fleet.gossip.run)
         tasks.start(partial(store_access.watch.run, tasks.stopping))
         ready = partial(_readiness, routing_state, ingress.stop_state)
@@ -324,6 +324,7 @@
     ingress: Ingress,
     fleet: Fleet,
     store_access: StoreAccess,
+    routing_state: RoutingState,
 ) -> None:
     connections = ingress.connections
     add = metrics.add_gauge
@@ -339,6 +340,16 @@
         'Calls to the store since the start.',
         lambda: store_access.store.call_count,
     )
+    add(
+        'store_age_seconds',
+        'Age of what this VM knows of the store.',
+        store_access.freshness.age_seconds,
+    )
+    add(
+        'route_table_version',
+        'Version of the route table in force, 0 for none.',
+        lambda: routing_state.table.version if routing_state.table else 0,
+    )
 
 
 def _run_housekeeping(
--- a/basilwall/fleet/store_relay.py
+++ b/basilwall/fleet/store_relay.py
@@ -46,6 +46,8 @@
 SKIP_SECONDS = 8.0
 #: Time between two checks of the age while a request is held open.
 CHECK_INTERVAL_SECONDS = 0.25
+#: Name of the store in the log line of received changes.
+STORE_SOURCE = 'store'
 #: HTTP path at which VMs request changes.
 CHANGES_PATH = '/changes'
 HTTP_OK = 200
@@ -158,15 +160,44 @@
             PlatformError: If neither a VM nor the store answered.
         """
         reader = self._select_reader()
+        started_at = self._clock.monotonic()
         if reader is not None:
             try:
-                return self._fetch_changes(reader, after)
+                reply = self._fetch_changes(reader, after)
             except (OSError, http.client.HTTPException, PlatformError) as error:
                 self._skip(reader, error)
+            else:
+                self._log_changes(reader, reply, after, started_at)
+                return reply
+            started_at = self._clock.monotonic()
         reply = self._store.watch(after)
         self.reply_age_seconds = 0
+        self._log_changes(STORE_SOURCE, reply, after, started_at)
         return reply
 
+    def _log_changes(
+        self,
+        source: str,
+        reply: WatchReply,
+        after: int,
+        started_at: float,
+    ) -> None:
+        if not reply.values and reply.revision >= after:
+            return
+        _log.info(
+            'changes received',
+            extra={
+                'source': source,
+                'after': after,
+                'revision': reply.revision,
+                'values': len(reply.values),
+                'bytes': sum(len(one.body) for one in reply.values),
+                'whole': reply.is_whole,
+                'age': round(self.reply_age_seconds, 2),
+                'seconds': round(self._clock.monotonic() - started_at, 2),
+            },
+        )
+
     def _select_reader(self) -> VmAddress | None:
         """Return the VM to request changes from, None to read the store."""
         own = self._membership.own
