--- a/basilwall/standin/metadata_store.py
+++ b/basilwall/standin/metadata_store.py
@@ -1,8 +1,8 @@
 """A stand-in for the metadata store of the users' platform.
 
 It serves two calls of the store: a paged range read and a long-polling
-watch. Tests write to it directly, and can make it drop its change history
-or answer every call with an error.
+watch. Tests write to it directly, and can make it drop its change history,
+answer every call with an error, or come back from an older copy of its data.
 """
 
 import base64
@@ -44,9 +44,20 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """All changes that a store had at one time."""
+
+    changes: tuple[_Change, ...]
+
+
 class _StoreHandler(StandInHandler):
     stand_in: 'MetadataStore'
 
+    def end_headers(self) -> None:
+        self.send_header('Store-Era', str(self.stand_in.era))
+        super().end_headers()
+
     def do_GET(self) -> None:
         store = self.stand_in
         store.calls += 1
@@ -75,6 +86,7 @@
 
     Attributes:
         is_down: Calls are answered with status 503.
+        era: How often it came back from an older copy, plus one.
         calls: Calls received so far.
     """
 
@@ -83,6 +95,7 @@
     def __init__(self, address: str) -> None:
         super().__init__(address)
         self.is_down = False
+        self.era = 1
         self.calls = 0
         self._changes: list[_Change] = []
         self._compacted_revision = 0
@@ -103,6 +116,20 @@
             self._compacted_revision = self._revision
             self._changed.notify_all()
 
+    def copy(self) -> Copy:
+        """Return a copy of the data, to come back from later."""
+        with self._changed:
+            return Copy(tuple(self._changes))
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy; what was written after it is lost."""
+        with self._changed:
+            self._changes = list(copy.changes)
+            self._revision = len(self._changes)
+            self._compacted_revision = 0
+            self.era += 1
+        self.cut_connections()
+
     def read_page(self, prefix: str, after: str) -> dict[str, Any]:
         """Return one page of the items under a prefix, after a key."""
         with self._changed:
@@ -129,14 +156,14 @@
 
         Returns:
             The changes, or an empty dict if the history after the revision
-            was dropped.
+            was dropped, or if the revision was never given out.
         """
         with self._changed:
             self._changed.wait_for(
                 lambda: self._revision > after or self.is_down,
                 wait_seconds,
             )
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return {}
             events = [
                 change.as_json()
--- /dev/null
+++ b/tests/documents_in_force_test.py
@@ -0,0 +1,109 @@
+"""A new route table is in force in its bound, whatever the store does."""
+
+import time
+
+import pytest
+
+from tests.entry_stage import (
+    BOUNDS,
+    ROUTES,
+    ask,
+    other_vm,
+    request,
+    route,
+    staged,
+    status_of,
+    table,
+    wait_until,
+)
+
+MS_PER_SECOND = 1000
+BOUND_SECONDS = BOUNDS['config_apply_ms'] / MS_PER_SECOND
+
+
+@pytest.fixture(name='stage')
+def _stage(tmp_path):
+    with staged(tmp_path) as stage:
+        yield stage
+
+
+def publish(stage, version):
+    """Write a table with one more route and return a path on that route."""
+    added = route(f'/new-{version}/', service='single')
+    stage.store.put('op/config', table(version, [*ROUTES, added]))
+    return f'/new-{version}/a'
+
+
+def seconds_until_served(caller, path):
+    began = time.monotonic()
+    wait_until(lambda: status_of(ask(caller, request(path))) == 200)
+    return time.monotonic() - began
+
+
+def test_a_vm_that_the_store_turns_away_gets_a_new_table_in_time(
+    stage, tmp_path
+):
+    folder = tmp_path / 'other'
+    folder.mkdir()
+    with other_vm(stage, folder) as other:
+        other.way_to_store.cut()
+        path = publish(stage, 2)
+        assert seconds_until_served(other.caller, path) < BOUND_SECONDS
+
+
+def test_a_table_is_in_force_though_its_revision_was_given_out_before(stage):
+    copy = stage.store.copy()
+    for version in range(2, 12):
+        lost = publish(stage, version)
+    seconds_until_served(stage.caller, lost)
+    stage.store.restore(copy)
+    path = publish(stage, 12)
+    assert seconds_until_served(stage.caller, path) < BOUND_SECONDS
+
+
+def test_a_table_in_force_stays_if_the_store_returns_with_an_older_one(stage):
+    copy = stage.store.copy()
+    path = publish(stage, 2)
+    seconds_until_served(stage.caller, path)
+    stage.store.restore(copy)
+    end = time.monotonic() + BOUND_SECONDS
+    while time.monotonic() < end:
+        assert status_of(ask(stage.caller, request(path))) == 200
+
+
+def test_a_leaving_searcher_gets_no_work_after_the_store_lost_its_report(
+    stage,
+):
+    copy = stage.store.copy()
+    stage.list_searcher('single.near', 'single', state='draining')
+    near = stage.searcher_by_id['single.near']
+
+    def reaches_near():
+        near.seen.clear()
+        ask(stage.caller, request('/one/a'))
+        return bool(near.seen)
+
+    wait_until(lambda: not reaches_near())
+    stage.store.restore(copy)
+    end = time.monotonic() + BOUND_SECONDS
+    while time.monotonic() < end:
+        assert not reaches_near()
+
+
+def test_a_removed_searcher_gets_no_work_after_the_store_lost_its_removal(
+    stage,
+):
+    copy = stage.store.copy()
+    stage.store.remove('servers/single.near')
+    near = stage.searcher_by_id['single.near']
+
+    def reaches_near():
+        near.seen.clear()
+        ask(stage.caller, request('/one/a'))
+        return bool(near.seen)
+
+    wait_until(lambda: not reaches_near())
+    stage.store.restore(copy)
+    end = time.monotonic() + BOUND_SECONDS
+    while time.monotonic() < end:
+        assert not reaches_near()
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -14,6 +14,7 @@
 from basilwall.standin.metadata_store import MetadataStore
 from basilwall.standin.platform_searcher import PlatformSearcherStandIn
 from basilwall.standin.ports import reserved_ports
+from tests.forwarder import Forwarder
 
 HOST = '127.0.0.1'
 PATIENCE = 20.0
@@ -221,13 +222,40 @@
                 _add_searcher(stage, stack, service, zone, next(free), number)
         current = CurrentSettings(node_file, read_node_file)
         stage.vm = stack.enter_context(running_entry(current))
-        wait_until(lambda: _is_ready(stage))
+        wait_until(lambda: _is_ready(stage.ready))
         yield stage
 
 
-def _is_ready(stage):
+@dataclass
+class OtherVm:
+    """A second VM of a stage, which reaches the store by a way of its own."""
+
+    caller: str
+    way_to_store: Forwarder
+
+
+@contextlib.contextmanager
+def other_vm(stage, folder):
+    """Run a second VM, which knows the first one as its seed.
+
+    Yields:
+        The second VM, once it is ready.
+    """
+    with reserved_ports(6) as base, contextlib.ExitStack() as stack:
+        ports = [f'{HOST}:{base + number}' for number in range(6)]
+        way = Forwarder(ports[5], stage.store.address)
+        stack.callback(way.close)
+        seed = json.loads(stage.node_file.read_text())['listen']['control']
+        node_file = _node_file(folder, [ports[5], *ports[1:5]], seed)
+        current = CurrentSettings(node_file, read_node_file)
+        stack.enter_context(running_entry(current))
+        wait_until(lambda: _is_ready(ports[2]))
+        yield OtherVm(ports[1], way)
+
+
+def _is_ready(address):
     with contextlib.suppress(OSError):
-        return status_of(ask(stage.ready, request('/v1/readiness'))) == 200
+        return status_of(ask(address, request('/v1/readiness'))) == 200
     return False
 
 
@@ -247,7 +275,7 @@
     return f'127.0.{number // 256}.{number % 256}'
 
 
-def _node_file(folder, ports):
+def _node_file(folder, ports, seed=None):
     content = {
         'node': 'vm-1',
         'ip': _metrics_host(ports),
@@ -256,7 +284,7 @@
         'zones': REGIONS,
         'listen': {'front': ports[1], 'ready': ports[2], 'control': ports[3]},
         'internal_ports': [int(ports[4].rpartition(':')[2])] * 2,
-        'seed_nodes': [ports[3]],
+        'seed_nodes': [seed or ports[3]],
         'limits': {'memory_mb': 300, 'max_fds': 4100},
         'bounds': BOUNDS,
         'heartbeat_ms': 1200,
