Let a VM catch up with others when its own reads of the store fall behind

VMs now tell each other, in the messages that they exchange each second anyway, up to which revision they know all changes. A VM that is behind for 0.8 s, or whose reads fail, gets the changes from the one that told it (fleet/catch_up.py). The register of revisions makes that safe in any order; a whole listing moves the revision before which this VM must send whole listings too. Its own read goes on as before, and removals are held back for as long as the telling VM holds them.

--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -139,6 +139,16 @@
         self._record_read(began_at)
         return True
 
+    def apply_relayed(self, reply: WatchReply) -> None:
+        """Apply a reply that another VM relayed, beside those of the reader.
+
+        Args:
+            reply: The changes after a revision up to which all were known.
+        """
+        self._store_values(reply)
+        self._after = max(self._after, reply.revision)
+        self.health.revision = self._after
+
     def _read_and_wait(
         self,
         backoff_seconds: float,
@@ -152,11 +162,7 @@
         return min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
     def _apply(self, reply: WatchReply) -> None:
-        for published in reply.values:
-            self._register.offer(published)
-        if reply.is_whole:
-            self._remove_unlisted(reply)
-            self.complete_since = reply.revision
+        self._store_values(reply)
         if reply.revision < self._after:
             _log.info(
                 'revision of the platform went back',
@@ -167,6 +173,13 @@
         self._after = max(reply.revision, 0)
         self.health.revision = self._after
 
+    def _store_values(self, reply: WatchReply) -> None:
+        for published in reply.values:
+            self._register.offer(published)
+        if reply.is_whole:
+            self._remove_unlisted(reply)
+            self.complete_since = max(self.complete_since, reply.revision)
+
     def _remove_unlisted(self, reply: WatchReply) -> None:
         listed = {published.key for published in reply.values}
         for key in self._register.digest().keys() - listed:
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -20,6 +20,8 @@
 
 from basilwall.backend.loss_classifier import LossClassifier
 from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.fleet.catch_up import CatchUp
+from basilwall.fleet.change_client import ChangeClient
 from basilwall.fleet.change_server import ChangeServer
 from basilwall.fleet.changes import CHANGES_PATH
 from basilwall.fleet.entry_fleet import Fleet
@@ -191,7 +193,8 @@
     may_relay = _may_relay(settings)
     watch_seconds = SHORT_WATCH_SECONDS if may_relay else LONG_WATCH_SECONDS
     store = HttpStoreClient(settings.store_address, watch_seconds)
-    reader = RelayedReader(store, fleet.membership, clock, may_relay)
+    client = ChangeClient()
+    reader = RelayedReader(store, fleet.membership, clock, may_relay, client)
     watch = PlatformWatch(
         reader,
         register,
@@ -209,6 +212,9 @@
         lambda: reader.is_reader,
     )
     register.subscribe(changes.notify_change)
+    catch_up = CatchUp(watch, reader, client, fleet.tasks, clock)
+    fleet.gossip.messages.own_revision = catch_up.own_revision
+    fleet.gossip.messages.record_peer_revision = catch_up.record_peer_revision
     return StoreAccess(store, watch, freshness, changes)
 
 
--- /dev/null
+++ b/basilwall/fleet/catch_up.py
@@ -0,0 +1,105 @@
+"""Catches up with other VMs if this VM's own reads of the store fall behind.
+
+VMs tell each other the revision that they know. A VM that hears of a higher
+one gets the changes from the VM that knows it, unless its own read brings them
+first. This way does not depend on the one by which a VM usually reads: a call
+that hangs, or a store that turns this VM away, delays no change for long.
+"""
+
+import http.client
+import logging
+import threading
+from functools import partial
+
+from basilwall.configuration.client import PlatformError
+from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.fleet.change_client import ChangeClient, log_changes
+from basilwall.fleet.changes import ChangesRequest
+from basilwall.fleet.relayed_reader import RelayedReader
+from basilwall.parts.clock import Clock
+from basilwall.parts.tasks import TaskGroup
+from basilwall.records.ids import VmAddress
+
+#: Time for which this VM's own read may be behind another VM.
+PATIENCE_SECONDS = 0.8
+FETCH_TIMEOUT_SECONDS = 1.5
+
+_log = logging.getLogger(__name__)
+
+
+class CatchUp:
+    """Gets changes from VMs that are ahead of this one."""
+
+    def __init__(
+        self,
+        watch: PlatformWatch,
+        reader: RelayedReader,
+        client: ChangeClient,
+        tasks: TaskGroup,
+        clock: Clock,
+    ) -> None:
+        """Create it.
+
+        Args:
+            watch: This VM's own reads, which get the changes too.
+            reader: Learns how long removals are held back.
+            client: Gets changes from other VMs.
+            tasks: Runs the calls.
+            clock: Dates what is heard.
+        """
+        self._watch = watch
+        self._reader = reader
+        self._client = client
+        self._tasks = tasks
+        self._clock = clock
+        #: The revision that this VM has been behind, and since when.
+        self._awaited_revision = 0
+        self._behind_since = clock.monotonic()
+        self._is_fetching = False
+        self._lock = threading.Lock()
+
+    def own_revision(self) -> int:
+        """Return the revision up to which this VM knows all changes."""
+        return self._watch.health.revision
+
+    def record_peer_revision(self, vm: VmAddress, revision: int) -> None:
+        """Record the revision of another VM; catch up with it if it is time.
+
+        Args:
+            vm: The address of the VM.
+            revision: The revision up to which it knows all changes.
+        """
+        with self._lock:
+            if self._is_fetching or not self._is_due(revision):
+                return
+            self._is_fetching = True
+        self._tasks.start(partial(self._fetch, vm))
+
+    def _is_due(self, revision: int) -> bool:
+        own, now = self.own_revision(), self._clock.monotonic()
+        if revision <= own:
+            return False
+        if self._awaited_revision <= own:
+            self._awaited_revision, self._behind_since = revision, now
+        is_own_read_failing = self._watch.health.failures > 0
+        is_overdue = now - self._behind_since >= PATIENCE_SECONDS
+        return is_own_read_failing or is_overdue
+
+    def _fetch(self, vm: VmAddress) -> None:
+        request = ChangesRequest(self.own_revision(), is_catching_up=True)
+        started_at = self._clock.monotonic()
+        try:
+            relayed = self._client.fetch(vm, request, FETCH_TIMEOUT_SECONDS)
+            self._reader.hold_removals(relayed.removals_held_seconds)
+            self._watch.apply_relayed(relayed.reply)
+        except (OSError, http.client.HTTPException, PlatformError) as error:
+            _log.info(
+                'not caught up with VM',
+                extra={'vm': vm, 'error': repr(error)},
+            )
+        else:
+            seconds = self._clock.monotonic() - started_at
+            log_changes(vm, relayed.reply, relayed.age, seconds)
+        finally:
+            with self._lock:
+                self._is_fetching = False
--- /dev/null
+++ b/basilwall/fleet/change_client.py
@@ -0,0 +1,117 @@
+"""Gets changes of the store from other VMs."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from basilwall.configuration.client import PlatformError, WatchReply
+from basilwall.fleet.changes import (
+    CHANGES_PATH,
+    ChangesRequest,
+    decode_changes,
+    decode_value,
+    encode_request,
+)
+from basilwall.fleet.http_calls import HTTP_OK, post
+from basilwall.records.ids import VmAddress
+
+#: Sends a request to a VM within a limit in seconds; returns the HTTP status
+#: and the body of the reply.
+Post = Callable[[VmAddress, bytes, float], tuple[int, bytes]]
+
+_log = logging.getLogger(__name__)
+
+
+def _post(
+    address: VmAddress, body: bytes, timeout_seconds: float
+) -> tuple[int, bytes]:
+    return post(address, CHANGES_PATH, body, timeout_seconds)
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """Changes that another VM relayed.
+
+    Attributes:
+        reply: The changes.
+        age: Seconds since the store was read, when the reply was sent.
+        removals_held_seconds: How long that VM still holds removals back.
+        held_seconds: How long it held the request open.
+    """
+
+    reply: WatchReply
+    age: float
+    removals_held_seconds: float
+    held_seconds: float
+
+
+class ChangeClient:
+    """Requests changes of the store from other VMs."""
+
+    def __init__(self, send: Post = _post) -> None:
+        """Create a client; `send` sends a request to a VM, by HTTP."""
+        self._send = send
+
+    def fetch(
+        self,
+        vm: VmAddress,
+        request: ChangesRequest,
+        timeout_seconds: float,
+    ) -> RelayedChanges:
+        """Get changes from a VM.
+
+        Args:
+            vm: The address of the VM.
+            request: What to ask for.
+            timeout_seconds: Limit of the whole call.
+
+        Returns:
+            The changes.
+
+        Raises:
+            OSError: If the VM was not reached or did not reply in time.
+            http.client.HTTPException: If its reply is not valid HTTP.
+            PlatformError: If it refused, or if its reply is malformed.
+        """
+        status, body = self._send(vm, encode_request(request), timeout_seconds)
+        if status != HTTP_OK:
+            raise PlatformError(f'HTTP status {status}')
+        changes = decode_changes(body)
+        reply = WatchReply(
+            changes.revision,
+            tuple(map(decode_value, changes.values)),
+            changes.is_whole,
+        )
+        return RelayedChanges(
+            reply,
+            changes.age,
+            changes.removals_held_seconds,
+            changes.held_seconds,
+        )
+
+
+def log_changes(
+    source: str, reply: WatchReply, age: float, seconds: float
+) -> None:
+    """Log received changes; a reply without any is not logged.
+
+    Args:
+        source: The VM that relayed them, or the store.
+        reply: The changes.
+        age: Seconds since they were read from the store.
+        seconds: How long the call took.
+    """
+    if not reply.values:
+        return
+    _log.info(
+        'changes received',
+        extra={
+            'source': source,
+            'revision': reply.revision,
+            'values': len(reply.values),
+            'bytes': sum(len(one.body) for one in reply.values),
+            'whole': reply.is_whole,
+            'age': round(age, 2),
+            'seconds': round(seconds, 2),
+        },
+    )
--- a/basilwall/fleet/change_server.py
+++ b/basilwall/fleet/change_server.py
@@ -73,7 +73,7 @@
                 'invalid request for changes', extra={'error': str(error)}
             )
             return HTTP_BAD_REQUEST, b''
-        if not self._is_reader():
+        if not (request.is_catching_up or self._is_reader()):
             return HTTP_UNAVAILABLE, b''
         held_seconds = self._wait_for_change(request)
         changes = self._changes(request.after, held_seconds)
--- a/basilwall/fleet/changes.py
+++ b/basilwall/fleet/changes.py
@@ -25,11 +25,13 @@
 class ChangesRequest(msgspec.Struct, array_like=True):
     """Requests the changes after a revision.
 
-    Without any, the reply comes after `hold_seconds`.
+    Without any, the reply comes after `hold_seconds`. Any VM replies to one
+    that is catching up, only readers of the store to others.
     """
 
     after: int
     hold_seconds: float = 0
+    is_catching_up: bool = False
 
 
 class RelayedValue(msgspec.Struct, array_like=True):
--- a/basilwall/fleet/gossip.py
+++ b/basilwall/fleet/gossip.py
@@ -39,7 +39,7 @@
         tasks: TaskGroup,
         rng: random.Random,
     ) -> None:
-        self._messages = messages
+        self.messages = messages
         self._tasks = tasks
         self._rng = rng
         self._unreachable: set[VmAddress] = set()
@@ -50,13 +50,13 @@
         stopping = self._tasks.stopping
         while not stopping.wait(self._next_interval(calls)):
             calls += 1
-            peers = self._messages.membership.peers()
+            peers = self.messages.membership.peers()
             if peers:
                 self.exchange_with(self._rng.choice(peers))
 
     def push_to_peers(self) -> None:
         """Send the state of this VM to several random peers at once."""
-        peers = self._messages.membership.peers()
+        peers = self.messages.membership.peers()
         chosen = self._rng.sample(peers, min(len(peers), PUSH_FANOUT))
         for address in chosen:
             self._tasks.start(partial(self._exchange_once, address))
@@ -71,11 +71,11 @@
             The HTTP status and the body of the reply.
         """
         try:
-            self._messages.apply(message)
+            self.messages.apply(message)
         except TellingError as error:
             _log.warning('invalid gossip message', extra={'error': str(error)})
             return HTTP_BAD_REQUEST, b''
-        return HTTP_OK, self._messages.encode()
+        return HTTP_OK, self.messages.encode()
 
     def exchange_with(self, address: VmAddress) -> bool:
         """Exchange messages with one VM.
@@ -87,7 +87,7 @@
             False if the VM gave no valid reply.
         """
         try:
-            self._messages.apply(self._call(address))
+            self.messages.apply(self._call(address))
         except (OSError, http.client.HTTPException, TellingError) as error:
             self._record_unreachable(address, error)
             return False
@@ -103,7 +103,7 @@
         status, reply = post(
             address,
             EXCHANGE_PATH,
-            self._messages.encode(),
+            self.messages.encode(),
             CALL_TIMEOUT_SECONDS,
         )
         if status != HTTP_OK:
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -7,6 +7,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -56,11 +57,21 @@
     sender: _WireMember
     members: tuple[_WireMember, ...]
     contents: tuple[_WireContent, ...]
+    # Revision up to which the sender knows all changes of the store.
+    revision: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(_GossipMessage)
 
 
+def _no_revision() -> int:
+    return 0
+
+
+def _ignore_revision(*_: VmAddress | int) -> None:
+    """Ignore the address and the revision of another VM."""
+
+
 class GossipMessages:
     """Encodes the gossip of this VM and applies that of others."""
 
@@ -72,6 +83,12 @@
     ) -> None:
         self.membership = membership
         self.quarantine = quarantine
+        #: Returns the revision up to which this VM knows all changes.
+        self.own_revision: Callable[[], int] = _no_revision
+        #: Called with the address and the revision of a VM.
+        self.record_peer_revision: Callable[[VmAddress, int], None] = (
+            _ignore_revision
+        )
         self._rng = rng
 
     def encode(self) -> bytes:
@@ -94,6 +111,7 @@
             _to_wire(self.membership.own),
             tuple(members),
             tuple(contents),
+            self.own_revision(),
         )
         return msgspec.msgpack.encode(decoded)
 
@@ -115,6 +133,9 @@
             self.membership.record_mention(_from_wire(member))
         for content in decoded.contents[:MAX_CONTENTS]:
             self._apply_content(content)
+        self.record_peer_revision(
+            VmAddress(decoded.sender.address), decoded.revision
+        )
 
     def _apply_content(self, content: _WireContent) -> None:
         strikes = [
--- a/basilwall/fleet/relay_delay_test.py
+++ b/basilwall/fleet/relay_delay_test.py
@@ -11,6 +11,7 @@
 
 from basilwall.configuration.client import PlatformReader, WatchReply
 from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.fleet.change_client import ChangeClient
 from basilwall.fleet.change_server import ChangeServer
 from basilwall.fleet.relayed_reader import (
     RelayedReader,
@@ -74,7 +75,9 @@
     membership = Membership(Member('10.0.0.1:1', 'a', 'zone'), clock)
     register = RevisionRegister()
     store = FixedStore(large_table())
-    reader = RelayedReader(store, membership, clock, may_relay=True)
+    reader = RelayedReader(
+        store, membership, clock, may_relay=True, client=ChangeClient()
+    )
     watch = PlatformWatch(reader, register, clock, random.Random(1))
     freshness = StoreFreshness(watch, reader, clock)
     server = ChangeServer(register, watch, freshness, clock, lambda: True)
@@ -133,7 +136,9 @@
     for member in members:
         membership.record_contact(member)
     store = FixedStore(b'new')
-    reader = RelayedReader(store, membership, clock, may_relay=True)
+    reader = RelayedReader(
+        store, membership, clock, may_relay=True, client=ChangeClient()
+    )
     began = time.monotonic()
     reply = reader.watch(1)
     assert time.monotonic() - began < BOUND_SECONDS
--- a/basilwall/fleet/relayed_reader.py
+++ b/basilwall/fleet/relayed_reader.py
@@ -15,7 +15,6 @@
 import http.client
 import logging
 import math
-from collections.abc import Callable
 
 from basilwall.configuration.client import (
     PlatformError,
@@ -23,15 +22,8 @@
     WatchReply,
 )
 from basilwall.configuration.platform_watch import PlatformWatch
-from basilwall.fleet.changes import (
-    CHANGES_PATH,
-    Changes,
-    ChangesRequest,
-    decode_changes,
-    decode_value,
-    encode_request,
-)
-from basilwall.fleet.http_calls import HTTP_OK, post
+from basilwall.fleet.change_client import ChangeClient, log_changes
+from basilwall.fleet.changes import ChangesRequest
 from basilwall.parts.clock import Clock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.rendezvous import rank_addresses
@@ -56,19 +48,9 @@
 #: Name of the store in the log line of received changes.
 STORE_SOURCE = 'store'
 
-#: Sends a request to a VM within a limit in seconds; returns the HTTP status
-#: and the body of the reply.
-Post = Callable[[VmAddress, bytes, float], tuple[int, bytes]]
-
 _log = logging.getLogger(__name__)
 
 
-def _post_request(
-    address: VmAddress, body: bytes, timeout_seconds: float
-) -> tuple[int, bytes]:
-    return post(address, CHANGES_PATH, body, timeout_seconds)
-
-
 def zone_readers(own: Member, known: list[Member]) -> list[VmAddress]:
     """Return the VMs of an availability zone that read the store.
 
@@ -93,8 +75,8 @@
 class RelayedReader(PlatformReader):
     """Reads the store, or gets its changes from a VM that reads it.
 
-    `removals_held_until` is the end of the time for which the last reader
-    holds removals back, in monotonic seconds of this VM.
+    `removals_held_until` is the end of the time for which the VMs that relayed
+    changes hold removals back, in monotonic seconds of this VM.
     """
 
     def __init__(
@@ -103,7 +85,7 @@
         membership: Membership,
         clock: Clock,
         may_relay: bool,
-        post_request: Post = _post_request,
+        client: ChangeClient,
     ) -> None:
         """Create a reader.
 
@@ -112,12 +94,12 @@
             membership: The VMs that this VM knows.
             clock: Dates the requests.
             may_relay: Whether changes may come from other VMs.
-            post_request: Sends a request to a VM; by HTTP by default.
+            client: Gets changes from other VMs.
         """
         #: Age of the data in the last reply when it arrived, in seconds.
         self.reply_age_seconds: float = 0
         self.removals_held_until = -math.inf
-        self._post_request = post_request
+        self._client = client
         self._may_relay = may_relay
         self._store = store
         self._membership = membership
@@ -149,56 +131,39 @@
         reader = self._select_reader()
         if reader is not None:
             try:
-                return self.fetch_changes(reader, after, self._seconds_left())
+                return self._watch_reader(reader, after)
             except (OSError, http.client.HTTPException, PlatformError) as error:
                 self._skip(reader, error)
         started_at = self._clock.monotonic()
         reply = self._store.watch(after)
         self._record_reply(
-            STORE_SOURCE, reply, after, started_at, self._clock.monotonic()
+            STORE_SOURCE, reply, started_at, self._clock.monotonic()
         )
         return reply
 
-    def fetch_changes(
-        self, vm: VmAddress, after: int, seconds_left: float
-    ) -> WatchReply:
-        """Get the changes after a revision from another VM.
-
-        Args:
-            vm: The address of the VM.
-            after: The revision up to which all changes are known.
-            seconds_left: Limit of the call.
-
-        Returns:
-            The changes.
+    def hold_removals(self, seconds: float) -> None:
+        """Hold removals back for as long as the VM that relayed them."""
+        self.removals_held_until = max(
+            self.removals_held_until, self._clock.monotonic() + seconds
+        )
 
-        Raises:
-            OSError: If the VM was not reached or did not reply in time.
-            http.client.HTTPException: If its reply is not valid HTTP.
-            PlatformError: If it refused, or if its data is too old.
-        """
-        started_at = self._clock.monotonic()
+    def _watch_reader(self, reader: VmAddress, after: int) -> WatchReply:
+        seconds_left = self._seconds_left()
         hold_seconds = max(min(HOLD_SECONDS, seconds_left - GRACE_SECONDS), 0)
-        changes = self._request_changes(
-            vm,
+        started_at = self._clock.monotonic()
+        relayed = self._client.fetch(
+            reader,
             ChangesRequest(after, hold_seconds),
             min(hold_seconds + GRACE_SECONDS, seconds_left),
         )
-        if changes.age > MAX_AGE_SECONDS:
-            raise PlatformError(f'data of the store {changes.age:.1f} s old')
-        reply = WatchReply(
-            changes.revision,
-            tuple(map(decode_value, changes.values)),
-            changes.is_whole,
-        )
-        self.removals_held_until = (
-            self._clock.monotonic() + changes.removals_held_seconds
-        )
+        if relayed.age > MAX_AGE_SECONDS:
+            raise PlatformError(f'data of the store {relayed.age:.1f} s old')
+        self.hold_removals(relayed.removals_held_seconds)
         # The transfer may have been slow, so the age is counted from the
         # earliest time at which the reply can have been sent.
-        sent_at = started_at + changes.held_seconds
-        self._record_reply(vm, reply, after, started_at, sent_at - changes.age)
-        return reply
+        current_at = started_at + relayed.held_seconds - relayed.age
+        self._record_reply(reader, relayed.reply, started_at, current_at)
+        return relayed.reply
 
     def _select_reader(self) -> VmAddress | None:
         """Return the VM to request changes from, None to read the store."""
@@ -223,42 +188,17 @@
         age_seconds = self._clock.monotonic() - self._current_at
         return MAX_WAITING_AGE_SECONDS - age_seconds
 
-    def _request_changes(
-        self, vm: VmAddress, request: ChangesRequest, timeout_seconds: float
-    ) -> Changes:
-        status, body = self._post_request(
-            vm, encode_request(request), timeout_seconds
-        )
-        if status != HTTP_OK:
-            raise PlatformError(f'HTTP status {status}')
-        return decode_changes(body)
-
     def _record_reply(
         self,
         source: str,
         reply: WatchReply,
-        after: int,
         started_at: float,
         current_at: float,
     ) -> None:
         now = self._clock.monotonic()
         self._current_at = current_at
         self.reply_age_seconds = now - current_at
-        if not reply.values and reply.revision >= after:
-            return
-        _log.info(
-            'changes received',
-            extra={
-                'source': source,
-                'after': after,
-                'revision': reply.revision,
-                'values': len(reply.values),
-                'bytes': sum(len(one.body) for one in reply.values),
-                'whole': reply.is_whole,
-                'age': round(self.reply_age_seconds, 2),
-                'seconds': round(now - started_at, 2),
-            },
-        )
+        log_changes(source, reply, self.reply_age_seconds, now - started_at)
 
     def _skip(self, reader: VmAddress, error: Exception) -> None:
         now = self._clock.monotonic()
--- a/basilwall/fleet/relayed_reader_test.py
+++ b/basilwall/fleet/relayed_reader_test.py
@@ -13,6 +13,8 @@
     WatchReply,
 )
 from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.fleet.catch_up import CatchUp
+from basilwall.fleet.change_client import ChangeClient
 from basilwall.fleet.change_server import ChangeServer
 from basilwall.fleet.relayed_reader import (
     MAX_AGE_SECONDS,
@@ -30,6 +32,13 @@
 KEYS = [f'k{number}' for number in range(4)]
 
 
+class TasksAtOnce:
+    """Runs tasks at once."""
+
+    def start(self, task):
+        task()
+
+
 class Store(PlatformReader):
     """The store, as seen by one VM."""
 
@@ -84,14 +93,15 @@
         self.register = RevisionRegister()
         own = Member(self.address, f'life-{number}', 'zone')
         self.membership = Membership(own, clock)
+        client = ChangeClient(
+            lambda to, question, _: fleet[to].server.answer(question)
+        )
         self.reader = RelayedReader(
             self.store,
             self.membership,
             clock,
             may_relay=True,
-            post_request=lambda to, question, _: fleet[to].server.answer(
-                question
-            ),
+            client=client,
         )
         self.watch = PlatformWatch(
             self.reader,
@@ -106,6 +116,9 @@
             clock,
             lambda: self.reader.is_reader,
         )
+        self.catch_up = CatchUp(
+            self.watch, self.reader, client, TasksAtOnce(), clock
+        )
 
     def live(self):
         stored = self.register.values_for(self.register.digest())
@@ -180,6 +193,28 @@
         assert vm.live() == {'k0': b'a'}
 
 
+def test_a_vm_turned_away_with_all_readers_catches_up(monkeypatch):
+    monkeypatch.setattr(HOLD_SECONDS, 0)
+    contents, clock, fleet = make_fleet()
+    readers, followers = readers_and_followers(fleet)
+    for vm in (*readers, *followers):
+        assert vm.watch.read()
+    turned_away = [*readers, followers[0]]
+    for vm in turned_away:
+        vm.store.is_unreachable = True
+    contents.write('k0', b'a')
+    clock.advance(MAX_AGE_SECONDS + 0.1)
+    for vm in (*followers[1:], *turned_away):
+        vm.watch.read()
+    told = followers[-1]
+    for vm in turned_away:
+        assert vm.live() == {}
+        vm.catch_up.record_peer_revision(
+            told.address, told.catch_up.own_revision()
+        )
+        assert vm.live() == {'k0': b'a'}
+
+
 class RelayMachine(RuleBasedStateMachine):
     """Writes, reads, outages and restarts in any order."""
 
@@ -201,6 +236,13 @@
     def read(self, number):
         self.vms[number].watch.read()
 
+    @rule(number=st.integers(0, VMS - 1), other=st.integers(0, VMS - 1))
+    def hear_of_revision(self, number, other):
+        told = self.vms[other]
+        self.vms[number].catch_up.record_peer_revision(
+            told.address, told.catch_up.own_revision()
+        )
+
     @rule(number=st.integers(0, VMS - 1), is_unreachable=st.booleans())
     def set_unreachable(self, number, is_unreachable):
         self.vms[number].store.is_unreachable = is_unreachable
