Keep order when the store comes back from an older copy

A store that comes back from a copy gives revisions out again. The register of revisions took every new value for an old one until the counter had caught up: a document was never in force in time, and nothing was logged. The same held for searchers: their entries, drains and removals.

The store numbers its copies (a header in all its answers). The client puts that number, the epoch, in front of the revision, so that inside the program a revision never goes back, and register, relay, catching up and gossip stay as they are. If the epoch rises, the client lists all keys. A response of an older epoch is not used, a missing or invalid header counts as the epoch that is known.

What a copy says is not all true: - an older route table doesn't replace the one in force (its version decides, as before); - a process that has begun to leave is not listed again by an older report of the same process (routing_state.py); - a key that was removed counts again only once it is written again; - entries that the copy lacks are held for as long as after an outage, for searchers write them again.

The first watch on a new connection doesn't wait, so that an epoch, or that the store is back, is known at once and not after up to 4 s.

The stand-in answered a watch from an unknown revision only after its wait, and says its era now. The stage of the entry tests listed a searcher as ready again after it had drained, as the same process; it lists a new start now, as searchers do.

--- a/basilwall/configuration/client.py
+++ b/basilwall/configuration/client.py
@@ -26,12 +26,16 @@
     """The values above the requested revision.
 
     If `is_whole` is True, `values` are all values that exist: other keys have
-    been removed. `revision` is the highest revision of the platform.
+    been removed. `revision` is the highest revision of the platform. If
+    `is_restored` is True, the platform came back from an older copy: entries
+    may be missing because they were lost, or be there because their removal
+    was.
     """
 
     revision: int
     values: tuple[PublishedValue, ...]
     is_whole: bool = False
+    is_restored: bool = False
 
 
 class PlatformReader(ABC):
--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -174,12 +174,23 @@
         self.health.revision = self._after
 
     def _store_values(self, reply: WatchReply) -> None:
+        removed_before: set[str] = set()
+        if reply.is_restored:
+            self.health.recovered_at = self._clock.monotonic()
+            # A key that was removed is in force again only once it is written
+            # again, which a later reply tells.
+            removed_before = self._removed_keys()
         for published in reply.values:
-            self._register.offer(published)
+            if published.key not in removed_before:
+                self._register.offer(published)
         if reply.is_whole:
             self._remove_unlisted(reply)
             self.complete_since = max(self.complete_since, reply.revision)
 
+    def _removed_keys(self) -> set[str]:
+        stored = self._register.values_for(self._register.digest())
+        return {published.key for published in stored if not published.body}
+
     def _remove_unlisted(self, reply: WatchReply) -> None:
         listed = {published.key for published in reply.values}
         for key in self._register.digest().keys() - listed:
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -4,12 +4,19 @@
 watches all keys. The connection is kept open with TCP keep-alive probes,
 because a long-polling call can't tell a store without changes from a dead
 connection.
+
+The store may come back from an older copy and give out revisions again. It then
+raises a number, its epoch, which is part of all its responses. Inside this
+program a revision is that number and the store's revision in one integer, so
+that it never goes back.
 """
 
 import base64
 import binascii
 import http.client
+import logging
 import socket
+from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -35,6 +42,15 @@
 KEEPALIVE_PROBES = 2
 HTTP_OK = 200
 HTTP_GONE = 410
+#: Revisions of one epoch; further ones are refused as invalid.
+REVISIONS_PER_EPOCH = 100_000_000_000
+#: Greater epochs are ignored as invalid.
+MAX_EPOCH = 65_535
+MAX_LOGGED_CHARACTERS = 80
+#: Header with the epoch. The pages' word for it is "era".
+EPOCH_HEADER = 'Store-Era'
+
+_log = logging.getLogger(__name__)
 
 
 class _StoredItem(msgspec.Struct):
@@ -58,6 +74,15 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """A response of the store; `epoch` is None if it names none."""
+
+    status: int
+    body: bytes
+    epoch: int | None
+
+
 DecodedT = TypeVar('DecodedT')
 
 _range_decoder = msgspec.json.Decoder(_Range)
@@ -82,46 +107,63 @@
                 none are.
 
         Returns:
-            The changes, or a complete listing if `after` is 0 or the store no
-            longer has the changes since then.
+            The changes, or a complete listing if `after` is 0, the store no
+            longer has the changes since then, or it came back from a copy.
 
         Raises:
             PlatformError: If the store can't be reached or its reply is
                 invalid.
         """
         if not after:
-            return self._list_all()
-        wait_ms = int(self._watch_seconds * MS_PER_SECOND)
-        path = f'/v1/kv-watch?prefix=&after={after}&wait_ms={wait_ms}'
-        status, body = self._get(
-            path, self._watch_seconds + RESPONSE_GRACE_SECONDS
+            return self._list_all(after)
+        epoch, number = divmod(after, REVISIONS_PER_EPOCH)
+        # The first call on a connection doesn't wait: it tells at once whether
+        # the store is back and whether it is still of the same epoch.
+        is_connected = self._connection is not None
+        wait_ms = (
+            int(self._watch_seconds * MS_PER_SECOND) if is_connected else 0
+        )
+        path = f'/v1/kv-watch?prefix=&after={number}&wait_ms={wait_ms}'
+        response = self._get(path, self._watch_seconds + RESPONSE_GRACE_SECONDS)
+        is_restored = _epoch_of(response, epoch) != epoch
+        if is_restored or response.status == HTTP_GONE:
+            return self._list_all(after)
+        changes = _decode(_changes_decoder, response)
+        return WatchReply(
+            _revision(epoch, changes.at),
+            tuple(_value(item, epoch) for item in changes.events),
         )
-        if status == HTTP_GONE:
-            return self._list_all()
-        changes = _decode(_changes_decoder, status, body)
-        return WatchReply(changes.at, tuple(map(_value, changes.events)))
 
-    def _list_all(self) -> WatchReply:
+    def _list_all(self, after: int) -> WatchReply:
         """List all keys.
 
         The reply has the revision of the first page, so the next watch returns
         all changes made during the listing.
         """
+        former_epoch = after // REVISIONS_PER_EPOCH
         listed: list[PublishedValue] = []
         first_revision, page_query = 0, ''
         for _ in range(MAX_PAGES):
-            path = f'/v1/kv-range?prefix={page_query}'
-            page = _decode(
-                _range_decoder, *self._get(path, READ_TIMEOUT_SECONDS)
+            response = self._get(
+                f'/v1/kv-range?prefix={page_query}', READ_TIMEOUT_SECONDS
             )
-            first_revision = first_revision or page.at
-            listed += map(_value, page.items)
+            epoch = _epoch_of(response, former_epoch)
+            page = _decode(_range_decoder, response)
+            first_revision = first_revision or _revision(epoch, page.at)
+            if first_revision // REVISIONS_PER_EPOCH != epoch:
+                raise PlatformError('store restored during a listing')
+            listed += (_value(item, epoch) for item in page.items)
             if not page.has_more:
-                return WatchReply(first_revision, tuple(listed), is_whole=True)
+                return WatchReply(
+                    first_revision,
+                    tuple(listed),
+                    is_whole=True,
+                    is_restored=_is_restored(after, epoch),
+                )
             page_query = f'&after={quote(page.items[-1].key)}'
         raise PlatformError(f'listing has more than {MAX_PAGES} pages')
 
-    def _get(self, path: str, timeout: float) -> tuple[int, bytes]:
+    def _get(self, path: str, timeout: float) -> _Response:
         self.call_count += 1
         connection = self._connection
         if connection is None:
@@ -139,7 +181,7 @@
         if response.will_close:
             connection.close()
         self._connection = connection
-        return response.status, body
+        return _Response(response.status, body, _read_epoch(response))
 
 
 def _ensure_connected(
@@ -160,29 +202,77 @@
     open_socket.settimeout(timeout)
 
 
+def _read_epoch(response: http.client.HTTPResponse) -> int | None:
+    text = response.headers.get(EPOCH_HEADER)
+    if text is None:
+        return None
+    is_valid = text.isascii() and text.isdigit() and int(text) <= MAX_EPOCH
+    if not is_valid:
+        _log.warning(
+            'invalid epoch of the store',
+            extra={'epoch': text[:MAX_LOGGED_CHARACTERS]},
+        )
+        return None
+    return int(text)
+
+
+def _epoch_of(response: _Response, known_epoch: int) -> int:
+    """Return the epoch of a response, the known one if it names none.
+
+    Raises:
+        PlatformError: If it is older than the known one.
+    """
+    if response.epoch is None:
+        return known_epoch
+    if response.epoch < known_epoch:
+        raise PlatformError(
+            f'response of epoch {response.epoch}, {known_epoch} is known'
+        )
+    return response.epoch
+
+
+def _is_restored(after: int, epoch: int) -> bool:
+    former_epoch = after // REVISIONS_PER_EPOCH
+    is_restored = bool(after) and epoch != former_epoch
+    if is_restored:
+        _log.warning(
+            'store came back from an older copy',
+            extra={'former_epoch': former_epoch, 'epoch': epoch},
+        )
+    return is_restored
+
+
+def _revision(epoch: int, number: int) -> int:
+    if not 0 <= number < REVISIONS_PER_EPOCH:
+        raise PlatformError(f'invalid revision {number}')
+    return epoch * REVISIONS_PER_EPOCH + number
+
+
 def _decode(
     decoder: msgspec.json.Decoder[DecodedT],
-    status: int,
-    body: bytes,
+    response: _Response,
 ) -> DecodedT:
-    if status != HTTP_OK:
-        raise PlatformError(f'metadata store answered with status {status}')
+    if response.status != HTTP_OK:
+        raise PlatformError(
+            f'metadata store answered with status {response.status}'
+        )
     try:
-        return decoder.decode(body)
+        return decoder.decode(response.body)
     except msgspec.MsgspecError as error:
         raise PlatformError(str(error)) from error
 
 
-def _value(item: _StoredItem) -> PublishedValue:
+def _value(item: _StoredItem, epoch: int) -> PublishedValue:
     """Convert a stored item to a published value.
 
     An empty body means that the key was removed. An item that is empty or
     isn't valid base64 gets a body that no decoder accepts instead.
     """
+    revision = _revision(epoch, item.revision)
     if item.removed:
-        return PublishedValue(item.key, item.revision, b'')
+        return PublishedValue(item.key, revision, b'')
     try:
         body = base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError):
         body = b'\xff'
-    return PublishedValue(item.key, item.revision, body or b'\xff')
+    return PublishedValue(item.key, revision, body or b'\xff')
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -17,7 +17,7 @@
 from basilwall.records.catalogue import PublishedValue
 from basilwall.records.ids import SearcherAddress, SearcherId, ServiceName
 from basilwall.records.routes import RouteTable
-from basilwall.records.searcher import Searcher
+from basilwall.records.searcher import Searcher, is_same_process
 
 #: Live searchers are listed again this soon after an outage of the platform.
 LAPSED_ENTRY_RETURN_SECONDS = 2.2
@@ -95,8 +95,10 @@
             return self._accept_table(published)
         if self._reader.is_searcher_key(key):
             with self._lock:
-                self._accept_searcher(published)
-                self._rebuild()
+                reason = self._accept_searcher(published)
+                if not reason:
+                    self._rebuild()
+                return reason
         return ''
 
     def searchers(self, service: ServiceName) -> tuple[Searcher, ...]:
@@ -148,11 +150,11 @@
         )
         return ''
 
-    def _accept_searcher(self, published: PublishedValue) -> None:
+    def _accept_searcher(self, published: PublishedValue) -> str:
         key = published.key
         if not published.body:
             self._remove(published)
-            return
+            return ''
         try:
             searcher = self._reader.read_searcher(key, published.body)
         except InvalidValueError as error:
@@ -166,8 +168,10 @@
             )
             self._searchers_by_key.pop(key, None)
             self._hold_ends_by_key.pop(key, None)
-            return
+            return ''
         previous = self._searchers_by_key.get(key)
+        if previous is not None and _is_undoing_leave(previous, searcher):
+            return 'older than the report that this process leaves'
         self._searchers_by_key[key] = searcher
         self._hold_ends_by_key.pop(key, None)
         if previous is None or previous.is_leaving != searcher.is_leaving:
@@ -180,6 +184,7 @@
                     'revision': published.revision,
                 },
             )
+        return ''
 
     def _remove(self, published: PublishedValue) -> None:
         key = published.key
@@ -230,3 +235,13 @@
         }
         for listener in self._listeners:
             listener()
+
+
+def _is_undoing_leave(previous: Searcher, current: Searcher) -> bool:
+    """Return whether an entry is older than that of a leaving process.
+
+    A process that has begun to leave doesn't return, but the platform may lose
+    its report and list an older one again.
+    """
+    is_undone = previous.is_leaving and not current.is_leaving
+    return is_undone and is_same_process(current, previous)
--- a/basilwall/routing/routing_state_test.py
+++ b/basilwall/routing/routing_state_test.py
@@ -118,6 +118,16 @@
     assert not ids(routing_state)
 
 
+def test_a_leaving_process_is_not_listed_again_by_an_older_report(setup):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry())
+    publish(2, 'servers/i-1', entry('draining'))
+    publish(3, 'servers/i-1', entry())
+    assert not ids(routing_state)
+    publish(4, 'servers/i-1', entry(born=9))
+    assert ids(routing_state) == ['i-1']
+
+
 @pytest.mark.parametrize(
     'body',
     [
--- a/basilwall/standin/http_server.py
+++ b/basilwall/standin/http_server.py
@@ -28,10 +28,15 @@
         head = (
             f'HTTP/1.1 {status} .\r\n'
             'Content-Type: application/json\r\n'
-            f'Content-Length: {len(body)}\r\n\r\n'
+            f'Content-Length: {len(body)}\r\n'
+            f'{self.extra_headers()}\r\n'
         )
         self.wfile.write(head.encode() + body)
 
+    def extra_headers(self) -> str:
+        """Return the lines of further headers of each reply."""
+        return ''
+
     def reply_json(self, status: int, body: Any) -> None:
         """Send a JSON reply."""
         self.reply(status, msgspec.json.encode(body))
--- a/basilwall/standin/metadata_store.py
+++ b/basilwall/standin/metadata_store.py
@@ -54,9 +54,8 @@
 class _StoreHandler(StandInHandler):
     stand_in: 'MetadataStore'
 
-    def end_headers(self) -> None:
-        self.send_header('Store-Era', str(self.stand_in.era))
-        super().end_headers()
+    def extra_headers(self) -> str:
+        return f'Store-Era: {self.stand_in.era}\r\n'
 
     def do_GET(self) -> None:
         store = self.stand_in
@@ -160,7 +159,7 @@
         """
         with self._changed:
             self._changed.wait_for(
-                lambda: self._revision > after or self.is_down,
+                lambda: self._revision != after or self.is_down,
                 wait_seconds,
             )
             if not self._compacted_revision <= after <= self._revision:
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -103,9 +104,12 @@
         default_factory=dict
     )
     vm: EntryVm | None = None
+    starts_by_id: Counter = field(default_factory=Counter)
 
     def list_searcher(self, searcher_id, service, state='ready', zone='near'):
-        """Write the entry of a searcher."""
+        """Write the entry of a searcher; one that is ready has just started."""
+        if state == 'ready':
+            self.starts_by_id[searcher_id] += 1
         entry = {
             'service': service,
             'address': self.searcher_by_id[searcher_id].address,
@@ -115,7 +119,7 @@
             'state': state,
             'cold_left_ms': 0,
             'call_seq': 1,
-            'born': 1,
+            'born': self.starts_by_id[searcher_id],
         }
         key = f'servers/{searcher_id}'
         return self.store.put(key, json.dumps(entry).encode())
