Heed what searchers say of themselves in replies: that they leave, and when to come back

A searcher that leaves says so in all its answers. Before, only its entry in the store counted, so a VM that had passed such an answer on went on sending to it until the store said so, and some searchers never report there. Now the VM marks that process as leaving at once (routing/leaving_processes.py): nothing more is sent to it, also if its entry says ready, lapses, or is listed again from an older copy of the store; a new process of the same id is used again. A 421 comes from another process at the address and says nothing of the searcher asked for. The field Reply.is_leaving was read from Connection: close, which other searchers send as well; nothing used it.

A searcher that turns a request away with 503 may say for how many seconds it wants nothing from this VM. Now it is left out for that time, whatever else is slower, also if its entry lapses meanwhile. If too few searchers are left, the request is refused at once with the time to come back, also when that is found out while it runs. Replies that are no longer waited for count as well. Rests over an hour are cut to one.

--- a/basilwall/forwarding/context.py
+++ b/basilwall/forwarding/context.py
@@ -45,6 +45,8 @@
         attempt: The attempt.
         outcome: Its result.
     """
+    if isinstance(outcome, Reply):
+        context.selector.record_announcements(attempt.searcher, outcome)
     stats = context.selector.stats_of(attempt.searcher)
     was_failing = stats.is_failing
     blame = rule_for(RetrySafety.IDEMPOTENT, outcome).blame
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Routes a caller's request, runs its attempts and builds its answer."""
 
+import math
 import random
 import socket
 from collections.abc import Iterator, Sequence
@@ -18,7 +19,7 @@
 from basilwall.forwarding.reporting import RequestReporter, Trail
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.forwarding.transport import CallerLeftError
-from basilwall.records.forwarding import Answer, Call, Reply, Unsent, Verdict
+from basilwall.records.forwarding import Answer, Call, Reply, Verdict
 from basilwall.records.routes import Route, ScatterGather
 from basilwall.routing.weighted_round_robin import WeightedRoundRobin
 
@@ -123,19 +124,53 @@
         subrequests: Sequence[SubRequest],
         route: Route,
     ) -> Answer | None:
-        """Refuse a request if too few services have a listed searcher."""
-        routing_state = self._context.routing_state
-        served = sum(
-            1
-            for subrequest in subrequests
-            if routing_state.searchers(subrequest.service)
+        """Refuse a request if too few services have a usable searcher."""
+        seconds = self._seconds_until_servable(
+            subrequests, min_subrequests(route)
         )
-        if served >= min_subrequests(route):
+        if not seconds:
             return None
+        if math.isinf(seconds):
+            return self._refusal(
+                Verdict.NO_SEARCHER, RETRY_AFTER_NO_SEARCHER_SECONDS
+            )
         return self._refusal(
-            Verdict.NO_SEARCHER, RETRY_AFTER_NO_SEARCHER_SECONDS
+            Verdict.NO_SEARCHER, seconds / MIN_RETRY_AFTER_JITTER
         )
 
+    def _seconds_until_servable(
+        self, subrequests: Sequence[SubRequest], needed: int
+    ) -> float:
+        """Return when enough services have a searcher that may get a request.
+
+        Args:
+            subrequests: The parts of the request, one for each service.
+            needed: How many services must have one.
+
+        Returns:
+            Seconds from now: 0 for at once, infinity if it is not known.
+        """
+        selector = self._context.selector
+        waits = sorted(
+            selector.seconds_until_usable(subrequest.service)
+            for subrequest in subrequests
+        )
+        return waits[needed - 1]
+
+    def _overload_refusal(
+        self, subrequests: Sequence[SubRequest], needed: int
+    ) -> Answer:
+        """Return a refusal of a request that no searcher took."""
+        seconds = self._seconds_until_servable(subrequests, needed)
+        if math.isinf(seconds):
+            return self._refusal(
+                Verdict.NOT_RUN, RETRY_AFTER_NO_SEARCHER_SECONDS
+            )
+        base_seconds = max(
+            RETRY_AFTER_OVERLOAD_SECONDS, seconds / MIN_RETRY_AFTER_JITTER
+        )
+        return self._refusal(Verdict.NOT_RUN, base_seconds)
+
     def _refusal(self, verdict: Verdict, base_seconds: float) -> Answer:
         """Return an answer that guarantees that the request has not run."""
         jitter = self._rng.uniform(
@@ -154,13 +189,7 @@
         if isinstance(failure, Reply) and _may_forward_failure(failure):
             return _forward_reply(failure, Verdict.PASSED_ON)
         if subrequest.has_ended and not subrequest.may_have_run:
-            is_overloaded = isinstance(failure, Reply | Unsent)
-            base_seconds = (
-                RETRY_AFTER_OVERLOAD_SECONDS
-                if is_overloaded
-                else RETRY_AFTER_NO_SEARCHER_SECONDS
-            )
-            return self._refusal(Verdict.NOT_RUN, base_seconds)
+            return self._overload_refusal([subrequest], 1)
         if not subrequest.has_ended:
             return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
         return Answer(Verdict.LOST, HTTP_BAD_GATEWAY)
@@ -203,7 +232,7 @@
                 HTTP_BAD_GATEWAY,
                 retry_after=RETRY_AFTER_OVERLOAD_SECONDS,
             )
-        return self._refusal(Verdict.NOT_RUN, RETRY_AFTER_OVERLOAD_SECONDS)
+        return self._overload_refusal(subrequests, min_shards(scatter_gather))
 
 
 @contextmanager
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -19,6 +19,8 @@
 MS_PER_SECOND = 1000
 #: Timeout of a request whose caller gives none, or an invalid one.
 DEFAULT_TIMEOUT_SECONDS = 30.0
+#: Longer rests that searchers ask for are reduced to this.
+MAX_REST_SECONDS = 3600.0
 #: Longer timeouts of callers are reduced to this.
 MAX_TIMEOUT_SECONDS = 86_400.0
 
@@ -32,6 +34,10 @@
 SIGNATURE = b'server-stamp'
 # Present if the searcher did not run the request.
 NOT_EXECUTED = b'not-executed'
+# "1" if the process that answers is shutting down.
+LEAVING = b'server-leaving'
+# In a refusal, for how many seconds the searcher wants no request of this VM.
+RETRY_AFTER = b'retry-after'
 
 # Headers of a single connection or of its framing; never forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -53,6 +59,7 @@
 _REPLACED_HEADERS = frozenset((b'expect-instance', TIME_LEFT))
 _NO_HEADERS: frozenset[bytes] = frozenset()
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 
 def decode_call(request: h11.Request, body: bytes, now: float) -> Call:
@@ -122,6 +129,8 @@
     by_name = head.headers_by_name
     is_marked_not_run = NOT_EXECUTED in by_name
     options = by_name.get(b'connection', b'').lower()
+    # A misdirected request was answered by another process at the address.
+    is_from_searcher = head.status != _MISDIRECTED
     return Reply(
         searcher=searcher,
         status=head.status,
@@ -130,10 +139,23 @@
         body=body,
         signature=by_name.get(SIGNATURE, b''),
         has_run=not (is_marked_not_run or head.status == _MISDIRECTED),
-        is_leaving=b'close' in options,
+        is_leaving=is_from_searcher and by_name.get(LEAVING) == b'1',
+        rest_seconds=_decode_rest_seconds(head),
     )
 
 
+def _decode_rest_seconds(head: ReplyHead) -> float | None:
+    """Return for how long a refusing searcher wants no request, in seconds."""
+    text = head.headers_by_name.get(RETRY_AFTER)
+    if head.status != _UNAVAILABLE or text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return min(seconds, MAX_REST_SECONDS) if seconds > 0 else None
+
+
 def idle_limit(head: ReplyHead) -> float | None:
     """Return the idle timeout of the sender's connection, in seconds.
 
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -55,7 +55,9 @@
     """The complete reply of a searcher to an attempt.
 
     `has_run` is False only if the searcher reported that the request did not
-    run.
+    run. `is_leaving` is True if it said that it is shutting down.
+    `rest_seconds` is for how long it wants no further request of this VM, None
+    if it asked for no rest.
     """
 
     searcher: SearcherId
@@ -65,7 +67,8 @@
     body: bytes
     signature: bytes
     has_run: bool
-    is_leaving: bool
+    is_leaving: bool = False
+    rest_seconds: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from types import MappingProxyType
 
 from basilwall.parts.clock import Clock
@@ -18,6 +19,7 @@
 from basilwall.records.ids import SearcherAddress, SearcherId, ServiceName
 from basilwall.records.routes import RouteTable
 from basilwall.records.searcher import Searcher, is_same_process
+from basilwall.routing.leaving_processes import LeavingProcesses
 
 #: Live searchers are listed again this soon after an outage of the platform.
 LAPSED_ENTRY_RETURN_SECONDS = 2.2
@@ -74,6 +76,7 @@
         self._searchers_by_id: Mapping[SearcherId, Searcher] = MappingProxyType(
             {}
         )
+        self._leaving = LeavingProcesses()
         self._listeners: list[Callable[[], None]] = []
         self._lock = threading.RLock()
 
@@ -126,6 +129,27 @@
         """Return all listed searchers, including leaving ones."""
         return self._searchers_by_id
 
+    def record_leaving(self, searcher: Searcher) -> None:
+        """Record that a searcher said in a reply that it is leaving."""
+        with self._lock:
+            if not self._leaving.add(searcher):
+                return
+            self._searchers_by_key = {
+                key: replace(listed, is_leaving=True)
+                if is_same_process(listed, searcher)
+                and listed.searcher_id == searcher.searcher_id
+                else listed
+                for key, listed in self._searchers_by_key.items()
+            }
+            self._rebuild()
+        _log.info(
+            'searcher says that it leaves',
+            extra={
+                'searcher': searcher.searcher_id,
+                'service': searcher.service,
+            },
+        )
+
     def _accept_table(self, published: PublishedValue) -> str:
         if not published.body:
             return 'the route table must not be removed'
@@ -170,7 +194,9 @@
             self._hold_ends_by_key.pop(key, None)
             return ''
         previous = self._searchers_by_key.get(key)
-        if previous is not None and _is_undoing_leave(previous, searcher):
+        if searcher.is_leaving:
+            self._leaving.add(searcher)
+        elif searcher.started_ms and searcher in self._leaving:
             return 'older than the report that this process leaves'
         self._searchers_by_key[key] = searcher
         self._hold_ends_by_key.pop(key, None)
@@ -235,13 +261,3 @@
         }
         for listener in self._listeners:
             listener()
-
-
-def _is_undoing_leave(previous: Searcher, current: Searcher) -> bool:
-    """Return whether an entry is older than that of a leaving process.
-
-    A process that has begun to leave doesn't return, but the platform may lose
-    its report and list an older one again.
-    """
-    is_undone = previous.is_leaving and not current.is_leaving
-    return is_undone and is_same_process(current, previous)
--- a/basilwall/routing/routing_state_test.py
+++ b/basilwall/routing/routing_state_test.py
@@ -128,6 +128,22 @@
     assert ids(routing_state) == ['i-1']
 
 
+def test_a_process_that_said_it_leaves_is_not_used_after_its_entry_lapsed(
+    setup,
+):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry())
+    (searcher,) = routing_state.searchers('s')
+    routing_state.record_leaving(searcher)
+    assert not ids(routing_state)
+    assert not routing_state.is_usable(searcher)
+    publish(2, 'servers/i-1', b'')
+    publish(3, 'servers/i-1', entry())
+    assert not ids(routing_state)
+    publish(4, 'servers/i-1', entry(born=9))
+    assert ids(routing_state) == ['i-1']
+
+
 @pytest.mark.parametrize(
     'body',
     [
--- a/basilwall/routing/searcher_stats.py
+++ b/basilwall/routing/searcher_stats.py
@@ -86,6 +86,7 @@
         self._sampled_at = clock.monotonic()
         self._backoff_until = -math.inf
         self._backoff = INITIAL_BACKOFF_SECONDS
+        self._rest_until = -math.inf
         self._stuck_since = -math.inf
         self._failure_rate = DecayingFailureRate(clock)
         self._attempt_numbers = itertools.count()
@@ -102,6 +103,11 @@
         """True during the backoff after a failed connection or a refusal."""
         return self._clock.monotonic() < self._backoff_until
 
+    @property
+    def rest_seconds_left(self) -> float:
+        """For how much longer it wants no request of this VM, in seconds."""
+        return max(self._rest_until - self._clock.monotonic(), 0)
+
     def expected_seconds(self) -> float:
         """Return how long an attempt sent now is expected to take."""
         now = self._clock.monotonic()
@@ -166,6 +172,12 @@
             self._backoff_until = now + self._backoff
             self._backoff = min(self._backoff * 2, MAX_BACKOFF_SECONDS)
 
+    def record_rest(self, seconds: float) -> None:
+        """Record that it wants no request of this VM for some time."""
+        rest_until = self._clock.monotonic() + seconds
+        with self._lock:
+            self._rest_until = max(self._rest_until, rest_until)
+
     def record_failure(self) -> None:
         """Record that its reply was lost or reported a failure."""
         self.is_failing = True
--- a/basilwall/routing/selection.py
+++ b/basilwall/routing/selection.py
@@ -5,12 +5,15 @@
 compared here adds the time to open a connection if none is idle.
 """
 
+import logging
+import math
 import random
 import threading
 from abc import ABC, abstractmethod
 from collections.abc import Collection
 
 from basilwall.parts.clock import Clock
+from basilwall.records.forwarding import Reply
 from basilwall.records.ids import SearcherId, ServiceName
 from basilwall.records.searcher import Searcher, is_same_process
 from basilwall.routing.location import RoundTripTimes
@@ -25,6 +28,8 @@
 #: Added instead if this VM has already used its share of connections.
 OVER_SHARE_PENALTY_SECONDS = 0.05
 
+_log = logging.getLogger(__name__)
+
 
 class ConnectionAvailability(ABC):
     """Tells whether a connection to a searcher is available."""
@@ -55,6 +60,7 @@
         self._clock = clock
         self._rng = rng
         self._stats_by_id: dict[SearcherId, SearcherStats] = {}
+        self._last_rest_until = -math.inf
         self._lock = threading.Lock()
 
     def pick(
@@ -69,15 +75,55 @@
             tried: Searchers that the request has already tried.
 
         Returns:
-            The statistics of the searcher, or None if none is left.
+            The statistics of the searcher, or None if none is left. Searchers
+            that asked for a rest are left out.
+        """
+        listed = self._routing_state.searchers(service)
+        untried = (
+            self.stats_of(searcher)
+            for searcher in listed
+            if searcher.searcher_id not in tried
+        )
+        usable = untried
+        if self._is_any_resting():
+            usable = (stats for stats in untried if not stats.rest_seconds_left)
+        return min(usable, key=self._cost, default=None)
+
+    def seconds_until_usable(self, service: ServiceName) -> float:
+        """Return when a searcher of a service may get a request.
+
+        Returns:
+            Seconds from now: 0 if one may get it at once, infinity if none is
+            listed.
         """
         listed = self._routing_state.searchers(service)
-        untried = [
-            searcher for searcher in listed if searcher.searcher_id not in tried
-        ]
-        if not untried:
-            return None
-        return min(map(self.stats_of, untried), key=self._cost)
+        if listed and not self._is_any_resting():
+            return 0
+        return min(
+            (self.stats_of(searcher).rest_seconds_left for searcher in listed),
+            default=math.inf,
+        )
+
+    def record_announcements(self, searcher: Searcher, reply: Reply) -> None:
+        """Record what a searcher says of itself in a reply.
+
+        Args:
+            searcher: The searcher that the attempt was sent to.
+            reply: Its reply.
+        """
+        if reply.is_leaving:
+            self._routing_state.record_leaving(searcher)
+        if reply.rest_seconds is not None:
+            rest_until = self._clock.monotonic() + reply.rest_seconds
+            self._last_rest_until = max(self._last_rest_until, rest_until)
+            self.stats_of(searcher).record_rest(reply.rest_seconds)
+            _log.info(
+                'searcher asks for a rest',
+                extra={
+                    'searcher': searcher.searcher_id,
+                    'seconds': reply.rest_seconds,
+                },
+            )
 
     def stats_of(self, searcher: Searcher) -> SearcherStats:
         """Return the statistics of a searcher, new ones if it restarted."""
@@ -101,8 +147,13 @@
                 searcher_id: stats
                 for searcher_id, stats in self._stats_by_id.items()
                 if is_same_process(listed.get(searcher_id), stats.searcher)
+                # It may be listed again before its rest ends.
+                or stats.rest_seconds_left
             }
 
+    def _is_any_resting(self) -> bool:
+        return self._clock.monotonic() < self._last_rest_until
+
     def _cost(self, stats: SearcherStats) -> float:
         jitter = 1 + self._rng.random() * COST_JITTER_RATIO
         return stats.expected_seconds() * jitter + self._connection_cost(stats)
--- a/basilwall/routing/selection_test.py
+++ b/basilwall/routing/selection_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from basilwall.parts.clock import ManualClock
+from basilwall.records.forwarding import Reply
 from basilwall.records.searcher import Searcher
 from basilwall.routing.location import RoundTripTimes, VmLocation
 from basilwall.routing.selection import ConnectionAvailability, SearcherSelector
@@ -44,13 +45,13 @@
     return Searcher(name, 's', f'{name}:1', zone, 2, False, 0, started)
 
 
-def make(*searchers):
+def make(*searchers, clock=None):
     availability, routing_state = (
         AvailabilityStub(),
         RoutingStateStub(*searchers),
     )
     round_trips = RoundTripTimes(VmLocation(OWN_ZONE, REGIONS))
-    clock, rng = ManualClock(), random.Random(1)
+    clock, rng = clock or ManualClock(), random.Random(1)
     return (
         SearcherSelector(routing_state, round_trips, availability, clock, rng),
         availability,
@@ -100,3 +101,36 @@
     routing_state.by_id = {each.searcher_id: each for each in listed}
     selector.forget_unlisted()
     assert selector.stats_of(searcher('a', OWN_ZONE, 2)) is not previous
+
+
+def asks_for_rest(seconds):
+    return Reply('near', 503, b'', (), b'', b'', False, rest_seconds=seconds)
+
+
+def test_a_searcher_that_asked_for_a_rest_is_left_out_until_its_end():
+    clock = ManualClock()
+    near, far = searcher('near', OWN_ZONE), searcher('far', 'z3')
+    selector, _, _ = make(near, far, clock=clock)
+    selector.record_announcements(near, asks_for_rest(2))
+    assert selector.seconds_until_usable('s') == 0
+    assert selector.pick('s', ()).searcher is far
+    assert selector.pick('s', ('far',)) is None
+    selector.record_announcements(far, asks_for_rest(1))
+    assert selector.pick('s', ()) is None
+    assert selector.seconds_until_usable('s') == pytest.approx(1)
+    clock.advance(1.1)
+    assert selector.pick('s', ()).searcher is far
+    clock.advance(1)
+    assert selector.pick('s', ()).searcher is near
+
+
+def test_a_rest_outlasts_a_lapse_of_the_entry_but_not_a_restart():
+    near = searcher('near', OWN_ZONE)
+    selector, _, routing_state = make(near)
+    selector.record_announcements(near, asks_for_rest(60))
+    routing_state.by_id = {}
+    selector.forget_unlisted()
+    routing_state.by_id = {'near': near}
+    assert selector.pick('s', ()) is None
+    routing_state.by_id = {'near': searcher('near', OWN_ZONE, started=2)}
+    assert selector.pick('s', ()) is not None
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -88,6 +88,8 @@
         work_seconds: Time that it takes for each request.
         next_behaviours: How it handles the next requests, in order.
         behaviour: How it handles requests once `next_behaviours` is empty.
+        is_leaving: Whether it says in all its answers that it is leaving.
+        retry_after_seconds: What it adds to refusals, None for nothing.
         seen: All requests that arrived.
         abandoned_connections: Connections closed by the client during a
             request that was handled with SILENT.
@@ -106,6 +108,8 @@
         self.work_seconds = work_seconds
         self.next_behaviours: deque[Behaviour] = deque()
         self.behaviour = Behaviour.ANSWER
+        self.is_leaving = False
+        self.retry_after_seconds: float | None = None
         self.seen: list[SeenRequest] = []
         self.abandoned_connections = 0
         self._listener = socket.create_server(
@@ -190,9 +194,18 @@
         if behaviour is Behaviour.RESET:
             _reset(connection)
             return False
-        connection.sendall(self._response(behaviour, request_id))
+        response = self._response(behaviour, request_id)
+        status_line, _, rest = response.partition(b'\r\n')
+        more = self._announcements(behaviour)
+        connection.sendall(b'\r\n'.join([status_line, *more, rest]))
         return behaviour not in {Behaviour.CUT_SHORT, Behaviour.UNFRAMED}
 
+    def _announcements(self, behaviour: Behaviour) -> list[bytes]:
+        headers = [b'Server-Leaving: 1'] if self.is_leaving else []
+        if behaviour is Behaviour.SHED and self.retry_after_seconds is not None:
+            headers.append(b'Retry-After: %g' % self.retry_after_seconds)
+        return headers
+
     def _answer(
         self,
         request_id: bytes,
