--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -155,7 +155,7 @@
             selector.seconds_until_usable(subrequest.service)
             for subrequest in subrequests
         )
-        return waits[needed - 1]
+        return waits[needed - 1] if needed <= len(waits) else math.inf
 
     def _overload_refusal(
         self, subrequests: Sequence[SubRequest], needed: int
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -162,12 +162,26 @@
         """Publish the next route table, with its version in a route prefix."""
         with self.lock:
             self.table_version += 1
-            version_route = route(f'/v{self.table_version}/', service='single')
-            self.store.put(
-                'op/config', table(self.table_version, [*ROUTES, version_route])
-            )
+            self._write_route_table()
             self.published_at[self.table_version] = time.monotonic()
 
+    def restore_store(self, copy):
+        """Let the store come back from a copy, then write all entries again."""
+        with self.lock:
+            self.store.restore(copy)
+            self._write_route_table()
+            for searcher in self.searchers:
+                has_drained = searcher.searcher_id in self.drained_at
+                self.list_searcher(
+                    searcher, 'draining' if has_drained else 'ready'
+                )
+
+    def _write_route_table(self):
+        version_route = route(f'/v{self.table_version}/', service='single')
+        self.store.put(
+            'op/config', table(self.table_version, [*ROUTES, version_route])
+        )
+
     def rewrite_settings(self, vm):
         """Rewrite the settings file of a VM without changing a setting."""
         settings = json.loads(vm.node_file.read_text())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,6 +70,7 @@
             self._change_searcher_behaviour,
             self._change_searcher_behaviour,
             self._compact_store_history,
+            self._restore_store,
         ]
         self._actions: list[Callable] = planned
         if not planned_only:
@@ -199,6 +200,14 @@
         self._record_event('store compacts its history')
         self._deployment.store.compact()
 
+    def _restore_store(self):
+        copy = self._deployment.store.copy()
+        time.sleep(self._rng.uniform(0.2, 2))
+        self._record_event('store comes back from an older copy')
+        end_disturbance = self._deployment.disturbances.begin('store')
+        self._deployment.restore_store(copy)
+        end_disturbance()
+
     def _change_route_table(self):
         for _ in range(self._rng.choice((1, 1, 3))):
             self._deployment.publish_route_table()
