State the two ways to leave as one test of a store that lost them

The tests of a lost drain and of a lost removal were the same but for one line. Both cases stay, with the same assertions, as parameters.

--- a/tests/documents_in_force_test.py
+++ b/tests/documents_in_force_test.py
@@ -71,30 +71,20 @@
         assert status_of(ask(stage.caller, request(path))) == 200
 
 
-def test_a_leaving_searcher_gets_no_work_after_the_store_lost_its_report(
-    stage,
-):
-    copy = stage.store.copy()
+def drain(stage):
     stage.list_searcher('single.near', 'single', state='draining')
-    near = stage.searcher_by_id['single.near']
 
-    def reaches_near():
-        near.seen.clear()
-        ask(stage.caller, request('/one/a'))
-        return bool(near.seen)
 
-    wait_until(lambda: not reaches_near())
-    stage.store.restore(copy)
-    end = time.monotonic() + BOUND_SECONDS
-    while time.monotonic() < end:
-        assert not reaches_near()
+def remove(stage):
+    stage.store.remove('servers/single.near')
 
 
-def test_a_removed_searcher_gets_no_work_after_the_store_lost_its_removal(
-    stage,
+@pytest.mark.parametrize('leave', [drain, remove])
+def test_a_searcher_gets_no_work_after_the_store_lost_that_it_left(
+    stage, leave
 ):
     copy = stage.store.copy()
-    stage.store.remove('servers/single.near')
+    leave(stage)
     near = stage.searcher_by_id['single.near']
 
     def reaches_near():
