--- /dev/null
+++ b/tests/searcher_announcements_test.py
@@ -0,0 +1,96 @@
+"""What searchers say of themselves in replies: leaving, and asking for a rest."""
+
+import time
+
+from basilwall.standin.platform_searcher import Behaviour
+from tests.entry_stage import (
+    ZONES,
+    ask,
+    request,
+    split,
+    staged,
+    status_of,
+    wait_until,
+)
+
+
+def near(stage, service):
+    return stage.searcher_by_id[f'{service}.near']
+
+
+def reaches(stage, searcher):
+    searcher.seen.clear()
+    ask(stage.caller, request('/one/a'))
+    return any(one.has_run for one in searcher.seen)
+
+
+def test_a_searcher_that_says_it_leaves_gets_nothing_more(tmp_path):
+    with staged(tmp_path) as stage:
+        leaving = near(stage, 'single')
+        leaving.is_leaving = True
+        assert status_of(ask(stage.caller, request('/one/a'))) == 200
+        assert len(leaving.seen) == 1
+        for number in range(20):
+            raw = request('/one/a', request_id=f'id-{number}')
+            assert status_of(ask(stage.caller, raw)) == 200
+        assert len(leaving.seen) == 1
+        stage.list_searcher('single.near', 'single')
+        leaving.is_leaving = False
+        stage.list_searcher('single.far', 'single', 'draining', 'far')
+        wait_until(lambda: reaches(stage, leaving))
+
+
+def test_a_refusal_by_another_process_at_the_address_says_nothing_of_leaving(
+    tmp_path,
+):
+    with staged(tmp_path) as stage:
+        other = near(stage, 'single')
+        other.searcher_id, own_id = 'another', other.searcher_id
+        other.is_leaving = True
+        for number in range(3):
+            raw = request('/one/a', request_id=f'id-{number}')
+            assert status_of(ask(stage.caller, raw)) == 200
+        other.searcher_id, other.is_leaving = own_id, False
+        stage.list_searcher('single.far', 'single', 'draining', 'far')
+        wait_until(lambda: reaches(stage, other))
+
+
+def test_a_searcher_that_asks_for_time_gets_nothing_until_then(tmp_path):
+    with staged(tmp_path) as stage:
+        busy = near(stage, 'single')
+        busy.next_behaviours.append(Behaviour.SHED)
+        busy.retry_after_seconds = 1.5
+        assert status_of(ask(stage.caller, request('/one/a'))) == 200
+        end = time.monotonic() + 1.2
+        busy.seen.clear()
+        far = stage.searcher_by_id['single.far']
+        far.behaviour = Behaviour.FAIL
+        while time.monotonic() < end:
+            ask(stage.caller, request('/one/a'))
+            time.sleep(0.05)
+        assert not busy.seen
+        wait_until(lambda: reaches(stage, busy))
+
+
+def test_a_request_is_refused_at_once_while_all_searchers_ask_for_time(
+    tmp_path,
+):
+    with staged(tmp_path) as stage:
+        searchers = [stage.searcher_by_id[f'single.{zone}'] for zone in ZONES]
+        for searcher in searchers:
+            searcher.behaviour = Behaviour.SHED
+            searcher.retry_after_seconds = 1.5
+        refused = ask(stage.caller, request('/one/a'))
+        assert status_of(refused) == 503
+        assert float(split(refused)[0][b'retry-after']) > 1
+        for searcher in searchers:
+            searcher.behaviour = Behaviour.ANSWER
+            searcher.seen.clear()
+        began = time.monotonic()
+        answer = ask(stage.caller, request('/one/b'))
+        assert status_of(answer) == 503
+        assert time.monotonic() - began < 0.3
+        assert not any(searcher.seen for searcher in searchers)
+        headers, _ = split(answer)
+        time.sleep(float(headers[b'retry-after']))
+        assert status_of(ask(stage.caller, request('/one/c'))) == 200
