--- a/tests/searcher_announcements_test.py
+++ b/tests/searcher_announcements_test.py
@@ -1,4 +1,4 @@
-"""What searchers say of themselves in replies: leaving, and asking for a rest."""
+"""What searchers say in replies: that they leave, that they ask for a rest."""
 
 import time
 
