Log and count what searchers say of the rate that they take

No logic changes.

New: 'searcher limits its rate' and 'searcher limits its rate no more', with the limit, the former one, the time since it was named and this VM's attempts since then, extra ones apart; the gauge basilwall_limited_searchers. The header is decoded in the adapter. A refusal without a limit and a reply to an older request end none.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -56,6 +56,7 @@
 from basilwall.records.ids import Incarnation
 from basilwall.records.routes import CallerLimits
 from basilwall.routing.location import RoundTripTimes
+from basilwall.routing.rate_limits import RateLimits
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.selection import SearcherSelector
 from basilwall.settings.current import CurrentSettings, SettingsError
@@ -109,8 +110,16 @@
         metrics = PrometheusMetrics()
         store_age = store_access.freshness.age_seconds
         reporting = RequestReporter(metrics, clock.monotonic, store_age)
-        ingress = _build_ingress(current, routing_state, fleet, reporting, rng)
+        rate_limits = RateLimits(clock)
+        ingress = _build_ingress(
+            current, routing_state, fleet, reporting, rate_limits, rng
+        )
         _register_gauges(metrics, ingress, fleet, store_access, routing_state)
+        metrics.add_gauge(
+            'limited_searchers',
+            'Searchers that name a limit on the rate of requests.',
+            rate_limits.count,
+        )
         tasks.start(fleet.gossip.run)
         tasks.start(partial(store_access.watch.run, tasks.stopping))
         ready = partial(_readiness, routing_state, ingress.stop_state)
@@ -254,6 +263,7 @@
     routing_state: RoutingState,
     fleet: Fleet,
     reporting: RequestReporter,
+    rate_limits: RateLimits,
     rng: random.Random,
 ) -> Ingress:
     settings, clock, tasks = current.value, BootClock(), fleet.tasks
@@ -266,7 +276,9 @@
         fleet.size,
         lambda searcher: SearcherConnection(searcher, clock),
     )
-    selector = SearcherSelector(routing_state, round_trips, pools, clock, rng)
+    selector = SearcherSelector(
+        routing_state, round_trips, pools, rate_limits, clock, rng
+    )
     routing_state.subscribe(pools.drop_unlisted)
     routing_state.subscribe(selector.forget_unlisted)
     transport = SocketTransport(routing_state, selector, pools, codec, clock)
--- a/basilwall/forwarding/context.py
+++ b/basilwall/forwarding/context.py
@@ -46,7 +46,9 @@
         outcome: Its result.
     """
     if isinstance(outcome, Reply):
-        context.selector.record_announcements(attempt.searcher, outcome)
+        context.selector.record_announcements(
+            attempt.searcher, outcome, attempt.sent_at
+        )
     stats = context.selector.stats_of(attempt.searcher)
     was_failing = stats.is_failing
     blame = rule_for(RetrySafety.IDEMPOTENT, outcome).blame
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -115,6 +115,9 @@
             self._call, searcher, self._deadline
         )
         self._trail.attempts += 1
+        self._context.selector.rate_limits.count_attempt(
+            searcher, is_extra=bool(subrequest.sent_to)
+        )
         subrequest.sent_to.add(searcher.searcher_id)
         subrequest.numbers_by_attempt[attempt] = stats.record_sent()
         subrequest.hedge_at = self._hedge_time(stats, attempt)
--- a/basilwall/forwarding/superseded.py
+++ b/basilwall/forwarding/superseded.py
@@ -43,7 +43,9 @@
     stats = selector.stats_of(attempt.searcher)
     stats.record_ended(attempt_number)
     if isinstance(outcome, Reply):
-        selector.record_announcements(attempt.searcher, outcome)
+        selector.record_announcements(
+            attempt.searcher, outcome, attempt.sent_at
+        )
     if isinstance(outcome, Reply) and outcome.is_success:
         stats.record_reply(now - attempt.sent_at)
 
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -3,6 +3,7 @@
 The header names of the users' protocol are defined in this module only.
 """
 
+import logging
 import math
 
 import h11
@@ -16,6 +17,8 @@
 )
 from basilwall.records.ids import SearcherId
 
+_log = logging.getLogger(__name__)
+
 MS_PER_SECOND = 1000
 #: Timeout of a request whose caller gives none, or an invalid one.
 DEFAULT_TIMEOUT_SECONDS = 30.0
@@ -36,6 +39,9 @@
 NOT_EXECUTED = b'not-executed'
 # "1" if the process that answers is shutting down.
 LEAVING = b'server-leaving'
+# How many requests per second the searcher takes from all VMs together; absent
+# if it takes any number.
+RATE_LIMIT = b'server-limit'
 # In a refusal, for how many seconds the searcher wants no request of this VM.
 RETRY_AFTER = b'retry-after'
 
@@ -141,6 +147,7 @@
         has_run=not (is_marked_not_run or head.status == _MISDIRECTED),
         is_leaving=is_from_searcher and by_name.get(LEAVING) == b'1',
         rest_seconds=_decode_rest_seconds(head),
+        rate_limit=_decode_rate_limit(head) if is_from_searcher else None,
     )
 
 
@@ -156,6 +163,21 @@
     return min(seconds, MAX_REST_SECONDS) if seconds > 0 else None
 
 
+def _decode_rate_limit(head: ReplyHead) -> float | None:
+    """Return the limit that a searcher names, in requests per second."""
+    text = head.headers_by_name.get(RATE_LIMIT)
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if limit >= 0 and math.isfinite(limit):
+        return limit
+    _log.info('invalid rate limit', extra={'text': text.decode('latin-1')})
+    return None
+
+
 def idle_limit(head: ReplyHead) -> float | None:
     """Return the idle timeout of the sender's connection, in seconds.
 
--- a/basilwall/platform/headers_test.py
+++ b/basilwall/platform/headers_test.py
@@ -45,3 +45,20 @@
 )
 def test_a_refusing_searcher_may_ask_for_a_rest(status, text, seconds):
     assert decode(status, Retry_After=text).rest_seconds == seconds
+
+
+@pytest.mark.parametrize(
+    ('status', 'text', 'limit'),
+    [
+        (200, b'15.2', 15.2),
+        (503, b'3', 3),
+        (200, b'0', 0),
+        (421, b'15.2', None),
+        (200, b'-1', None),
+        (200, b'nan', None),
+        (200, b'inf', None),
+        (200, b'few', None),
+    ],
+)
+def test_only_the_searcher_itself_names_a_rate_limit(status, text, limit):
+    assert decode(status, Server_Limit=text).rate_limit == limit
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -57,7 +57,8 @@
     `has_run` is False only if the searcher reported that the request did not
     run. `is_leaving` is True if it said that it is shutting down.
     `rest_seconds` is for how long it wants no further request of this VM, None
-    if it asked for no rest.
+    if it asked for no rest. `rate_limit` is how many requests per second it
+    takes from all VMs together, None if it names no limit.
     """
 
     searcher: SearcherId
@@ -69,6 +70,7 @@
     has_run: bool
     is_leaving: bool = False
     rest_seconds: float | None = None
+    rate_limit: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/basilwall/routing/selection.py
+++ b/basilwall/routing/selection.py
@@ -17,6 +17,7 @@
 from basilwall.records.ids import SearcherId, ServiceName
 from basilwall.records.searcher import Searcher, is_same_process
 from basilwall.routing.location import RoundTripTimes
+from basilwall.routing.rate_limits import RateLimits
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.searcher_stats import SearcherStats
 
@@ -51,12 +52,14 @@
         routing_state: RoutingState,
         round_trips: RoundTripTimes,
         availability: ConnectionAvailability,
+        rate_limits: RateLimits,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._routing_state = routing_state
         self._round_trips = round_trips
         self._availability = availability
+        self.rate_limits = rate_limits
         self._clock = clock
         self._rng = rng
         self._stats_by_id: dict[SearcherId, SearcherStats] = {}
@@ -104,13 +107,17 @@
             default=math.inf,
         )
 
-    def record_announcements(self, searcher: Searcher, reply: Reply) -> None:
+    def record_announcements(
+        self, searcher: Searcher, reply: Reply, sent_at: float
+    ) -> None:
         """Record what a searcher says of itself in a reply.
 
         Args:
             searcher: The searcher that the attempt was sent to.
             reply: Its reply.
+            sent_at: When the attempt was sent, in monotonic seconds.
         """
+        self.rate_limits.record_reply(searcher, reply, sent_at)
         if reply.is_leaving:
             self._routing_state.record_leaving(searcher)
         if reply.rest_seconds is not None:
--- a/basilwall/routing/selection_test.py
+++ b/basilwall/routing/selection_test.py
@@ -8,6 +8,7 @@
 from basilwall.records.forwarding import Reply
 from basilwall.records.searcher import Searcher
 from basilwall.routing.location import RoundTripTimes, VmLocation
+from basilwall.routing.rate_limits import RateLimits
 from basilwall.routing.selection import ConnectionAvailability, SearcherSelector
 
 OWN_ZONE = 'z1'
@@ -53,7 +54,14 @@
     round_trips = RoundTripTimes(VmLocation(OWN_ZONE, REGIONS))
     clock, rng = clock or ManualClock(), random.Random(1)
     return (
-        SearcherSelector(routing_state, round_trips, availability, clock, rng),
+        SearcherSelector(
+            routing_state,
+            round_trips,
+            availability,
+            RateLimits(clock),
+            clock,
+            rng,
+        ),
         availability,
         routing_state,
     )
@@ -111,11 +119,11 @@
     clock = ManualClock()
     near, far = searcher('near', OWN_ZONE), searcher('far', 'z3')
     selector, _, _ = make(near, far, clock=clock)
-    selector.record_announcements(near, asks_for_rest(2))
+    selector.record_announcements(near, asks_for_rest(2), 0)
     assert selector.seconds_until_usable('s') == 0
     assert selector.pick('s', ()).searcher is far
     assert selector.pick('s', ('far',)) is None
-    selector.record_announcements(far, asks_for_rest(1))
+    selector.record_announcements(far, asks_for_rest(1), 0)
     assert selector.pick('s', ()) is None
     assert selector.seconds_until_usable('s') == pytest.approx(1)
     clock.advance(1.1)
@@ -127,7 +135,7 @@
 def test_a_rest_outlasts_a_lapse_of_the_entry_but_not_a_restart():
     near = searcher('near', OWN_ZONE)
     selector, _, routing_state = make(near)
-    selector.record_announcements(near, asks_for_rest(60))
+    selector.record_announcements(near, asks_for_rest(60), 0)
     routing_state.by_id = {}
     selector.forget_unlisted()
     routing_state.by_id = {'near': near}
--- a/basilwall/simulation/deployment.py
+++ b/basilwall/simulation/deployment.py
@@ -29,6 +29,7 @@
 from basilwall.records.searcher import Searcher
 from basilwall.routing.bounds import Bounds
 from basilwall.routing.location import Distance, RoundTripTimes, VmLocation
+from basilwall.routing.rate_limits import RateLimits
 from basilwall.routing.routing_state import RoutingState, ValueReader
 from basilwall.routing.selection import SearcherSelector
 from basilwall.simulation.scenarios import (
@@ -245,7 +246,9 @@
         lambda: model.vm_count,
         lambda searcher: ModelConnection(searcher, time),
     )
-    selector = SearcherSelector(routing_state, round_trips, pools, time, rng)
+    selector = SearcherSelector(
+        routing_state, round_trips, pools, RateLimits(time), time, rng
+    )
     transport = ModelTransport(
         searchers, selector, pools, time, model.connect_seconds
     )
