--- a/basilwall/simulation/callers.py
+++ b/basilwall/simulation/callers.py
@@ -136,10 +136,24 @@
     Returns:
         Results as callers saw them, and the extra load on the searchers.
     """
+    return simulate_deployment(scenario)[0]
+
+
+def simulate_deployment(
+    scenario: Scenario,
+) -> tuple[Report, SimulatedDeployment]:
+    """Simulate a scenario.
+
+    Args:
+        scenario: The scenario; its seed determines all random draws.
+
+    Returns:
+        The results as callers saw them, and the deployment at the end.
+    """
     rng = random.Random(scenario.seed)
     tally, attempts = Tally(), AttemptCounter()
     with virtual_time() as time:
         deployment = make_deployment(scenario, time, rng, attempts)
         CallerModel(scenario, deployment, time, rng, tally).schedule_arrivals()
         time.run()
-    return tally.build_report(scenario, attempts.total)
+    return tally.build_report(scenario, attempts.total), deployment
--- a/basilwall/simulation/scenarios.py
+++ b/basilwall/simulation/scenarios.py
@@ -15,7 +15,8 @@
     """Kind of a fault of searchers.
 
     A searcher works more slowly (slow), refuses requests (shed), fails them
-    (fail), closes connections (down) or doesn't reply (silent).
+    (fail), closes connections (down), doesn't reply (silent) or names a limit
+    on the rate of its requests (limit).
     """
 
     SLOW = 'slow'
@@ -23,14 +24,16 @@
     FAIL = 'fail'
     DOWN = 'down'
     SILENT = 'silent'
+    LIMIT = 'limit'
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
     """Fault of a share of the searchers of each shard.
 
-    `strength` is the factor on service times if `kind` is slow, else the
-    probability that the fault applies to a request, from 0 to 1.
+    `strength` is the factor on service times if `kind` is slow, the requests
+    per second if it is limit, else the probability that the fault applies to a
+    request, from 0 to 1.
     """
 
     kind: FaultKind
--- a/basilwall/simulation/searchers.py
+++ b/basilwall/simulation/searchers.py
@@ -94,6 +94,8 @@
     ) -> None:
         self.searcher = searcher
         self.faults: Sequence[Fault] = ()
+        #: When requests arrived, in monotonic seconds.
+        self.arrivals: list[float] = []
         self._time = time
         self._rng = rng
         self._pauses = pauses
@@ -109,8 +111,16 @@
         """True if a `DOWN` fault applies; draws at each call."""
         return self._is_fault_drawn(FaultKind.DOWN)
 
+    @property
+    def rate_limit(self) -> float | None:
+        """The limit that replies name, in requests per second, or None."""
+        now = self._time.monotonic()
+        limits = self._active_faults(FaultKind.LIMIT, now)
+        return min((fault.strength for fault in limits), default=None)
+
     def receive(self, job: Job) -> None:
         """Run, queue or refuse a request; a silent searcher ignores it."""
+        self.arrivals.append(self._time.monotonic())
         if self.is_down:
             job.finish(JobOutcome.CONNECTION_CLOSED)
         elif not self._is_fault_drawn(FaultKind.SILENT):
--- a/basilwall/simulation/transport.py
+++ b/basilwall/simulation/transport.py
@@ -117,7 +117,7 @@
 
     def finish(self, job_outcome: JobOutcome) -> None:
         """Send the result of the job back to the VM."""
-        result = _attempt_result(self.searcher.searcher_id, job_outcome)
+        result = _attempt_result(self._model_searcher, job_outcome)
         self._time.call_later(
             self._round_trip / 2, partial(self._finish, result)
         )
@@ -283,13 +283,23 @@
 
 
 def _attempt_result(
-    searcher: SearcherId, job_outcome: JobOutcome
+    model_searcher: ModelSearcher, job_outcome: JobOutcome
 ) -> AttemptResult:
     """Return the result that the VM gets for the outcome of a job."""
+    searcher = model_searcher.searcher.searcher_id
     if job_outcome is JobOutcome.CONNECTION_CLOSED:
         return Lost(searcher, LossReason.CUT)
     status, has_run = REPLY_BY_OUTCOME[job_outcome]
-    return Reply(searcher, status, b'', (), b'', b'signed', has_run, False)
+    return Reply(
+        searcher,
+        status,
+        b'',
+        (),
+        b'',
+        b'signed',
+        has_run,
+        rate_limit=model_searcher.rate_limit,
+    )
 
 
 def _ignore_result(attempt: ModelAttempt, result: AttemptResult) -> None:
