Keep the limit that a searcher names, by the sum of all VMs

Callers saw nothing. Cause: the limit was read by nobody, and nothing kept the rate of one searcher's attempts; what VMs shared by count were connections and the retry budget only.

Now each VM takes an equal share of the limit, for first attempts, hedges and retries alike, in turns of a second whose rest is lost, so that idle VMs save up nothing. A request of many shards gets its searchers all at once or is refused at once with the time of the next turn. VMs gossip the limits with their age; a reply to a request sent after the last mention ends one. Other replicas are chosen while there is no room.

Not whole here: shares are equal whatever the traffic of a VM.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -56,7 +56,7 @@
 from basilwall.records.ids import Incarnation
 from basilwall.records.routes import CallerLimits
 from basilwall.routing.location import RoundTripTimes
-from basilwall.routing.rate_limits import RateLimits
+from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.selection import SearcherSelector
 from basilwall.settings.current import CurrentSettings, SettingsError
@@ -110,15 +110,17 @@
         metrics = PrometheusMetrics()
         store_age = store_access.freshness.age_seconds
         reporting = RequestReporter(metrics, clock.monotonic, store_age)
-        rate_limits = RateLimits(clock)
+        rate_limiter = RateLimiter(
+            clock, rng, fleet.size, routing_state.searchers
+        )
         ingress = _build_ingress(
-            current, routing_state, fleet, reporting, rate_limits, rng
+            current, routing_state, fleet, reporting, rate_limiter, rng
         )
         _register_gauges(metrics, ingress, fleet, store_access, routing_state)
         metrics.add_gauge(
             'limited_searchers',
             'Searchers that name a limit on the rate of requests.',
-            rate_limits.count,
+            rate_limiter.limits.count,
         )
         tasks.start(fleet.gossip.run)
         tasks.start(partial(store_access.watch.run, tasks.stopping))
@@ -263,7 +265,7 @@
     routing_state: RoutingState,
     fleet: Fleet,
     reporting: RequestReporter,
-    rate_limits: RateLimits,
+    rate_limiter: RateLimiter,
     rng: random.Random,
 ) -> Ingress:
     settings, clock, tasks = current.value, BootClock(), fleet.tasks
@@ -277,8 +279,15 @@
         lambda searcher: SearcherConnection(searcher, clock),
     )
     selector = SearcherSelector(
-        routing_state, round_trips, pools, rate_limits, clock, rng
+        routing_state,
+        round_trips,
+        pools,
+        rate_limiter,
+        clock,
+        rng,
     )
+    fleet.gossip.messages.rate_limit_notices = selector.rate_limit_notices
+    fleet.gossip.messages.apply_rate_limit = selector.apply_rate_limit
     routing_state.subscribe(pools.drop_unlisted)
     routing_state.subscribe(selector.forget_unlisted)
     transport = SocketTransport(routing_state, selector, pools, codec, clock)
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -7,10 +7,15 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
+from basilwall.fleet.rate_limit_messages import (
+    WireLimit,
+    decode_notice,
+    encode_notice,
+)
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.quarantine import Quarantine
 from basilwall.records.ids import (
@@ -21,11 +26,14 @@
     VmAddress,
     Zone,
 )
+from basilwall.records.rate_limit import RateLimitNotice
 from basilwall.records.strike import Evidence, Strike
 
 #: Most members and most quarantined contents in one message.
 MAX_MEMBERS = 24
 MAX_CONTENTS = 64
+#: Most limits of searchers that are taken from one message.
+MAX_LIMITS = 256
 
 _log = logging.getLogger(__name__)
 
@@ -59,6 +67,7 @@
     contents: tuple[_WireContent, ...]
     # Revision up to which the sender knows all changes of the store.
     revision: int = 0
+    limits: tuple[WireLimit, ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(_GossipMessage)
@@ -68,6 +77,14 @@
     return 0
 
 
+def _no_notices() -> Sequence[RateLimitNotice]:
+    return ()
+
+
+def _ignore_notice(_: RateLimitNotice) -> None:
+    """Ignore a notice of another VM."""
+
+
 def _ignore_revision(*_: VmAddress | int) -> None:
     """Ignore the address and the revision of another VM."""
 
@@ -89,6 +106,14 @@
         self.record_peer_revision: Callable[[VmAddress, int], None] = (
             _ignore_revision
         )
+        #: Returns what this VM knows of the limits of searchers.
+        self.rate_limit_notices: Callable[[], Sequence[RateLimitNotice]] = (
+            _no_notices
+        )
+        #: Called with what another VM knows of the limit of a searcher.
+        self.apply_rate_limit: Callable[[RateLimitNotice], None] = (
+            _ignore_notice
+        )
         self._rng = rng
 
     def encode(self) -> bytes:
@@ -112,6 +137,7 @@
             tuple(members),
             tuple(contents),
             self.own_revision(),
+            tuple(map(encode_notice, self.rate_limit_notices())),
         )
         return msgspec.msgpack.encode(decoded)
 
@@ -133,6 +159,8 @@
             self.membership.record_mention(_from_wire(member))
         for content in decoded.contents[:MAX_CONTENTS]:
             self._apply_content(content)
+        for limit in decoded.limits[:MAX_LIMITS]:
+            self.apply_rate_limit(decode_notice(limit))
         self.record_peer_revision(
             VmAddress(decoded.sender.address), decoded.revision
         )
--- a/basilwall/fleet/gossip_messages_test.py
+++ b/basilwall/fleet/gossip_messages_test.py
@@ -10,6 +10,7 @@
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.quarantine import Quarantine, Suspicion
+from basilwall.records.rate_limit import RateLimitNotice
 from basilwall.records.strike import Evidence, Strike
 
 CONTENT = 'content'
@@ -83,3 +84,13 @@
     except TellingError:
         return
     assert len(messages.membership.peers()) <= 1
+
+
+def test_vms_tell_each_other_the_limits_of_searchers():
+    first, second = make(1), make(2)
+    notice = RateLimitNotice('s-1', 7, 15.2, 0.5)
+    first.rate_limit_notices = lambda: [notice]
+    heard = []
+    second.apply_rate_limit = heard.append
+    exchange(first, second)
+    assert heard == [notice]
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -15,6 +15,7 @@
 from basilwall.forwarding.retry_rules import describe_result, rule_for
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.forwarding.transport import Attempt, AttemptWaiter
+from basilwall.parts.hedge import HedgeDelay
 from basilwall.records.forwarding import (
     AttemptResult,
     Call,
@@ -54,11 +55,26 @@
         self._hedge_delay = context.retry_policy.hedge_delay(route)
         self._may_hedge = route.retry_safety is RetrySafety.IDEMPOTENT
         self._subrequests_by_attempt: dict[Attempt, SubRequest] = {}
+        self._first_choices: Sequence[SearcherStats | None] = ()
         self._deadline = min(
             call.expires_at,
             call.received_at + route.timeout,
         )
 
+    def admit(self, needed: int) -> bool:
+        """Choose the searchers of the first attempts.
+
+        Args:
+            needed: How many services must have one.
+
+        Returns:
+            False if fewer have one; then nothing is sent.
+        """
+        services = [subrequest.service for subrequest in self.subrequests]
+        choices = self._context.selector.pick_each(services, needed)
+        self._first_choices = choices
+        return bool(choices)
+
     def run(self, completion: CompletionPolicy) -> None:
         """Send to every service and wait until the request is complete.
 
@@ -68,9 +84,14 @@
         Raises:
             CallerLeftError: If the caller closed its connection.
         """
-        for subrequest in self.subrequests:
+        for subrequest, stats in zip(
+            self.subrequests, self._first_choices, strict=True
+        ):
             self._context.retry_policy.budget(subrequest.service).earn()
-            self._send_or_end(subrequest)
+            if stats is None or not self._may_send(subrequest):
+                subrequest.has_ended = True
+            else:
+                self._send(subrequest, stats)
         while not completion.is_complete(
             self.subrequests, self._clock.monotonic()
         ):
@@ -100,51 +121,43 @@
         for attempt, subrequest in tuple(self._subrequests_by_attempt.items()):
             self._release(attempt, subrequest, is_cancelled=caller_left)
 
-    def _send_or_end(self, subrequest: SubRequest) -> None:
-        if not self._send(subrequest) and not subrequest.numbers_by_attempt:
-            subrequest.has_ended = True
-
-    def _send(self, subrequest: SubRequest) -> bool:
-        """Send one attempt; False if no searcher or no time is left for it."""
-        stats = self._pick(subrequest)
+    def _send_next(self, subrequest: SubRequest) -> bool:
+        """Send a further attempt; False if no searcher or no time is left."""
+        if not self._may_send(subrequest):
+            return False
+        stats = self._context.selector.pick_and_count(
+            subrequest.service, subrequest.tried
+        )
         if stats is None:
             return False
+        self._send(subrequest, stats)
+        return True
+
+    def _send(self, subrequest: SubRequest, stats: SearcherStats) -> None:
         searcher = stats.searcher
         transport = self._context.transport
         attempt = transport.prepare_attempt(
             self._call, searcher, self._deadline
         )
         self._trail.attempts += 1
-        self._context.selector.rate_limits.count_attempt(
-            searcher, is_extra=bool(subrequest.sent_to)
-        )
         subrequest.sent_to.add(searcher.searcher_id)
         subrequest.numbers_by_attempt[attempt] = stats.record_sent()
-        subrequest.hedge_at = self._hedge_time(stats, attempt)
+        subrequest.hedge_at = self._deadline
+        if self._may_hedge:
+            late_after = _late_after(self._hedge_delay, stats, attempt)
+            subrequest.hedge_at = self._clock.monotonic() + late_after
         self._subrequests_by_attempt[attempt] = subrequest
         outcome = self._waiter.add(attempt)
         if outcome is not None:
             self._handle_result(attempt, outcome)
-        return True
 
-    def _pick(self, subrequest: SubRequest) -> SearcherStats | None:
+    def _may_send(self, subrequest: SubRequest) -> bool:
+        """Return whether there is time for an attempt, and one is allowed."""
         time_left = self._deadline - self._clock.monotonic()
         is_exhausted = len(subrequest.sent_to) >= self._route.max_attempts
         if time_left < MIN_ATTEMPT_SECONDS or is_exhausted:
-            return None
-        if len(subrequest.unreachable) >= MAX_UNREACHABLE:
-            return None
-        tried = subrequest.sent_to | subrequest.unreachable
-        return self._context.selector.pick(subrequest.service, tried)
-
-    def _hedge_time(self, stats: SearcherStats, attempt: Attempt) -> float:
-        if not self._may_hedge:
-            return self._deadline
-        # The hedge delay is learned without round trips; a new connection needs
-        # one more.
-        round_trips = 1 if attempt.is_connected else 2
-        late_after = self._hedge_delay.delay + stats.round_trip * round_trips
-        return self._clock.monotonic() + late_after
+            return False
+        return len(subrequest.unreachable) < MAX_UNREACHABLE
 
     def _hedge_late(self, now: float) -> None:
         late = [
@@ -162,11 +175,15 @@
         late = next(iter(subrequest.numbers_by_attempt), None)
         searcher = late.searcher.searcher_id if late else NO_SEARCHER
         budget = self._context.retry_policy.budget(subrequest.service)
-        if self._pick(subrequest) is None:
+        pick = self._context.selector.pick
+        other = None
+        if self._may_send(subrequest):
+            other = pick(subrequest.service, subrequest.tried)
+        if other is None:
             self._add_step(
                 subrequest, searcher, 'late, no other searcher for a hedge'
             )
-        elif budget.spend(RETRY_RESERVE_RATIO) and self._send(subrequest):
+        elif budget.spend(RETRY_RESERVE_RATIO) and self._send_next(subrequest):
             self._trail.hedges += 1
             self._add_step(subrequest, searcher, 'late, hedged')
         else:
@@ -202,7 +219,7 @@
         budget = self._context.retry_policy.budget(subrequest.service)
         has_attempts = len(subrequest.sent_to) < self._route.max_attempts
         if is_budget_exempt or (has_attempts and budget.spend()):
-            self._send_or_end(subrequest)
+            subrequest.has_ended = not self._send_next(subrequest)
         else:
             subrequest.has_ended = True
 
@@ -234,3 +251,13 @@
             attempt.cancel(LossReason.TIMEOUT)
         stats.record_ended(attempt_number)
         transport.release_connection(attempt)
+
+
+def _late_after(
+    hedge_delay: HedgeDelay, stats: SearcherStats, attempt: Attempt
+) -> float:
+    """Return after how many seconds an attempt counts as late."""
+    # The hedge delay is learned without round trips; a new connection needs
+    # one more.
+    round_trips = 1 if attempt.is_connected else 2
+    return hedge_delay.delay + stats.round_trip * round_trips
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -90,9 +90,7 @@
         )
         scatter_gather = route.scatter_gather
         refusal = self._refuse_quarantined(call)
-        refusal = refusal or self._refuse_unservable(
-            execution.subrequests, route
-        )
+        refusal = refusal or self._refuse_unservable(execution, route)
         if refusal is not None:
             return refusal
         try:
@@ -120,23 +118,14 @@
         )
 
     def _refuse_unservable(
-        self,
-        subrequests: Sequence[SubRequest],
-        route: Route,
+        self, execution: RequestExecution, route: Route
     ) -> Answer | None:
         """Refuse a request if too few services have a usable searcher."""
-        seconds = self._seconds_until_servable(
-            subrequests, min_subrequests(route)
-        )
-        if not seconds:
+        needed = min_subrequests(route)
+        if execution.admit(needed):
             return None
-        if math.isinf(seconds):
-            return self._refusal(
-                Verdict.NO_SEARCHER, RETRY_AFTER_NO_SEARCHER_SECONDS
-            )
-        return self._refusal(
-            Verdict.NO_SEARCHER, seconds / MIN_RETRY_AFTER_JITTER
-        )
+        seconds = self._seconds_until_servable(execution.subrequests, needed)
+        return self._refusal(Verdict.NO_SEARCHER, _base_retry_after(seconds))
 
     def _seconds_until_servable(
         self, subrequests: Sequence[SubRequest], needed: int
@@ -162,14 +151,7 @@
     ) -> Answer:
         """Return a refusal of a request that no searcher took."""
         seconds = self._seconds_until_servable(subrequests, needed)
-        if math.isinf(seconds):
-            return self._refusal(
-                Verdict.NOT_RUN, RETRY_AFTER_NO_SEARCHER_SECONDS
-            )
-        base_seconds = max(
-            RETRY_AFTER_OVERLOAD_SECONDS, seconds / MIN_RETRY_AFTER_JITTER
-        )
-        return self._refusal(Verdict.NOT_RUN, base_seconds)
+        return self._refusal(Verdict.NOT_RUN, _base_retry_after(seconds))
 
     def _refusal(self, verdict: Verdict, base_seconds: float) -> Answer:
         """Return an answer that guarantees that the request has not run."""
@@ -253,6 +235,17 @@
     return ScatterCompletion(call, route, route.scatter_gather)
 
 
+def _base_retry_after(seconds: float) -> float:
+    """Return when callers may come back, before jitter is applied.
+
+    Args:
+        seconds: When the request can be served, infinity if it is not known.
+    """
+    if math.isinf(seconds):
+        return RETRY_AFTER_NO_SEARCHER_SECONDS
+    return max(RETRY_AFTER_OVERLOAD_SECONDS, seconds / MIN_RETRY_AFTER_JITTER)
+
+
 def _has_too_few_shards(
     subrequests: Sequence[SubRequest], scatter_gather: ScatterGather
 ) -> bool:
--- a/basilwall/forwarding/subrequest.py
+++ b/basilwall/forwarding/subrequest.py
@@ -27,6 +27,11 @@
     may_have_run: bool = False
     has_ended: bool = False
 
+    @property
+    def tried(self) -> set[SearcherId]:
+        """The searchers that get no further attempt of this request."""
+        return self.sent_to | self.unreachable
+
     @property
     def is_open(self) -> bool:
         """True while an attempt may still succeed."""
--- a/basilwall/routing/rate_limits_test.py
+++ b/basilwall/routing/rate_limits_test.py
@@ -52,5 +52,5 @@
     limits.record_reply(BUSY, reply(15), clock.monotonic())
     restarted = replace(BUSY, started_ms=2)
     limits.record_reply(restarted, reply(3), clock.monotonic())
-    limits.count_attempt(restarted, is_extra=False)
-    assert limits.count() == 1
+    assert limits.limit_of(restarted) == 3
+    assert limits.limit_of(BUSY) is None
--- a/basilwall/routing/selection.py
+++ b/basilwall/routing/selection.py
@@ -10,14 +10,16 @@
 import random
 import threading
 from abc import ABC, abstractmethod
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
+from contextlib import nullcontext
 
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import Reply
 from basilwall.records.ids import SearcherId, ServiceName
+from basilwall.records.rate_limit import RateLimitNotice
 from basilwall.records.searcher import Searcher, is_same_process
 from basilwall.routing.location import RoundTripTimes
-from basilwall.routing.rate_limits import RateLimits
+from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.searcher_stats import SearcherStats
 
@@ -28,6 +30,7 @@
 CONNECTION_SETUP_SECONDS = 0.006
 #: Added instead if this VM has already used its share of connections.
 OVER_SHARE_PENALTY_SECONDS = 0.05
+NO_LOCK = nullcontext()
 
 _log = logging.getLogger(__name__)
 
@@ -52,19 +55,21 @@
         routing_state: RoutingState,
         round_trips: RoundTripTimes,
         availability: ConnectionAvailability,
-        rate_limits: RateLimits,
+        rate_limiter: RateLimiter,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._routing_state = routing_state
         self._round_trips = round_trips
         self._availability = availability
-        self.rate_limits = rate_limits
+        self._rate_limiter = rate_limiter
+        self._rate_limits = rate_limiter.limits
         self._clock = clock
         self._rng = rng
         self._stats_by_id: dict[SearcherId, SearcherStats] = {}
         self._last_rest_until = -math.inf
         self._lock = threading.Lock()
+        self._admission_lock = threading.Lock()
 
     def pick(
         self,
@@ -79,7 +84,8 @@
 
         Returns:
             The statistics of the searcher, or None if none is left. Searchers
-            that asked for a rest are left out.
+            are left out that asked for a rest, or whose limit leaves this VM
+            no request now.
         """
         listed = self._routing_state.searchers(service)
         untried = (
@@ -90,8 +96,67 @@
         usable = untried
         if self._is_any_resting():
             usable = (stats for stats in untried if not stats.rest_seconds_left)
+        if self._rate_limits.are_named:
+            has_room = self._rate_limiter.has_room
+            usable = (stats for stats in usable if has_room(stats.searcher))
         return min(usable, key=self._cost, default=None)
 
+    def pick_and_count(
+        self, service: ServiceName, tried: Collection[SearcherId]
+    ) -> SearcherStats | None:
+        """Choose a searcher as `pick` does, and count it against its limit.
+
+        Args:
+            service: The service.
+            tried: Searchers that the request has already tried.
+
+        Returns:
+            The statistics of the searcher, or None if none is left.
+        """
+        is_extra = bool(tried)
+        stats = self.pick(service, tried)
+        while stats is not None:
+            if self._rate_limiter.take(stats.searcher, is_extra=is_extra):
+                break
+            # Another request took what its limit left.
+            stats = self.pick(service, tried)
+        return stats
+
+    def pick_each(
+        self, services: Sequence[ServiceName], needed: int
+    ) -> list[SearcherStats | None]:
+        """Choose the searchers of the first attempts of a request.
+
+        Requests that need many services at once are served one by one here.
+        Else each could take what another one lacks, and none would be complete.
+
+        Args:
+            services: The services that the request goes to.
+            needed: How many of them must have a searcher.
+
+        Returns:
+            A choice for each service, None where there is no searcher. Empty if
+            fewer than `needed` have one; nothing is counted then.
+        """
+        with self._admission_lock if self._rate_limits.are_named else NO_LOCK:
+            picks = [self.pick_and_count(service, ()) for service in services]
+            chosen = [stats for stats in picks if stats is not None]
+            if len(chosen) >= needed:
+                return picks
+            for stats in chosen:
+                self._rate_limiter.give_back(stats.searcher)
+            return []
+
+    def rate_limit_notices(self) -> list[RateLimitNotice]:
+        """Return what other VMs are told of the limits of searchers."""
+        return self._rate_limits.notices()
+
+    def apply_rate_limit(self, notice: RateLimitNotice) -> None:
+        """Record what another VM heard of the limit of a searcher."""
+        searcher = self._routing_state.all_searchers().get(notice.searcher)
+        if searcher is not None:
+            self._rate_limits.apply_notice(searcher, notice)
+
     def seconds_until_usable(self, service: ServiceName) -> float:
         """Return when a searcher of a service may get a request.
 
@@ -100,12 +165,7 @@
             listed.
         """
         listed = self._routing_state.searchers(service)
-        if listed and not self._is_any_resting():
-            return 0
-        return min(
-            (self.stats_of(searcher).rest_seconds_left for searcher in listed),
-            default=math.inf,
-        )
+        return min(map(self._seconds_until_usable, listed), default=math.inf)
 
     def record_announcements(
         self, searcher: Searcher, reply: Reply, sent_at: float
@@ -117,7 +177,7 @@
             reply: Its reply.
             sent_at: When the attempt was sent, in monotonic seconds.
         """
-        self.rate_limits.record_reply(searcher, reply, sent_at)
+        self._rate_limits.record_reply(searcher, reply, sent_at)
         if reply.is_leaving:
             self._routing_state.record_leaving(searcher)
         if reply.rest_seconds is not None:
@@ -149,6 +209,7 @@
     def forget_unlisted(self) -> None:
         """Drop the statistics of searchers that are no longer listed."""
         listed = self._routing_state.all_searchers()
+        self._rate_limits.forget_unlisted(listed)
         with self._lock:
             self._stats_by_id = {
                 searcher_id: stats
@@ -158,6 +219,10 @@
                 or stats.rest_seconds_left
             }
 
+    def _seconds_until_usable(self, searcher: Searcher) -> float:
+        resting = self.stats_of(searcher).rest_seconds_left
+        return max(resting, self._rate_limiter.seconds_until_room(searcher))
+
     def _is_any_resting(self) -> bool:
         return self._clock.monotonic() < self._last_rest_until
 
--- a/basilwall/routing/selection_test.py
+++ b/basilwall/routing/selection_test.py
@@ -8,7 +8,7 @@
 from basilwall.records.forwarding import Reply
 from basilwall.records.searcher import Searcher
 from basilwall.routing.location import RoundTripTimes, VmLocation
-from basilwall.routing.rate_limits import RateLimits
+from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.selection import ConnectionAvailability, SearcherSelector
 
 OWN_ZONE = 'z1'
@@ -58,7 +58,7 @@
             routing_state,
             round_trips,
             availability,
-            RateLimits(clock),
+            RateLimiter(clock, rng, lambda: 8, routing_state.searchers),
             clock,
             rng,
         ),
--- a/basilwall/simulation/callers.py
+++ b/basilwall/simulation/callers.py
@@ -13,6 +13,7 @@
     make_deployment,
     prefix_of,
 )
+from basilwall.simulation.gossip import schedule_gossip
 from basilwall.simulation.report import Report, Tally
 from basilwall.simulation.scenarios import RequestKind, Scenario
 from basilwall.simulation.virtual_time import Task, VirtualTime, virtual_time
@@ -68,9 +69,17 @@
                 arrival_time += self._rng.expovariate(rate)
 
     def _start_request(self, kind: RequestKind) -> None:
-        vm = self._rng.choice(self._deployment.vms)
+        vm = self._draw_vm()
         self._time.start(partial(self._run_request, kind, vm))
 
+    def _draw_vm(self) -> ModelVm:
+        vms = self._deployment.vms
+        factor = self._scenario.first_zone_factor
+        if factor == 1:
+            return self._rng.choice(vms)
+        weights = [factor if vm.zone == vms[0].zone else 1 for vm in vms]
+        return self._rng.choices(vms, weights)[0]
+
     def _run_request(self, kind: RequestKind, vm: ModelVm, task: Task) -> None:
         started_at = self._time.monotonic()
         expires_at = started_at + kind.deadline
@@ -155,5 +164,6 @@
     with virtual_time() as time:
         deployment = make_deployment(scenario, time, rng, attempts)
         CallerModel(scenario, deployment, time, rng, tally).schedule_arrivals()
+        schedule_gossip(deployment.vms, time, scenario.seconds)
         time.run()
     return tally.build_report(scenario, attempts.total), deployment
--- a/basilwall/simulation/deployment.py
+++ b/basilwall/simulation/deployment.py
@@ -29,7 +29,7 @@
 from basilwall.records.searcher import Searcher
 from basilwall.routing.bounds import Bounds
 from basilwall.routing.location import Distance, RoundTripTimes, VmLocation
-from basilwall.routing.rate_limits import RateLimits
+from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.routing_state import RoutingState, ValueReader
 from basilwall.routing.selection import SearcherSelector
 from basilwall.simulation.scenarios import (
@@ -95,6 +95,7 @@
     zone: Zone
     forwarder: Forwarder
     transport: ModelTransport
+    selector: SearcherSelector
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,7 +248,12 @@
         lambda searcher: ModelConnection(searcher, time),
     )
     selector = SearcherSelector(
-        routing_state, round_trips, pools, RateLimits(time), time, rng
+        routing_state,
+        round_trips,
+        pools,
+        RateLimiter(time, rng, lambda: model.vm_count, routing_state.searchers),
+        time,
+        rng,
     )
     transport = ModelTransport(
         searchers, selector, pools, time, model.connect_seconds
@@ -265,7 +271,7 @@
         routing_state, selector, transport, policy, _NoCrashDetector(), time
     )
     reporter = RequestReporter(metrics, time.monotonic, float)
-    return ModelVm(zone, Forwarder(context, reporter, rng), transport)
+    return ModelVm(zone, Forwarder(context, reporter, rng), transport, selector)
 
 
 def _make_location(zone: Zone, model: DeploymentModel) -> VmLocation:
--- a/basilwall/simulation/scenarios.py
+++ b/basilwall/simulation/scenarios.py
@@ -116,7 +116,8 @@
 class Scenario:
     """A deployment, its load and its faults.
 
-    `load_factor` is a factor on the rates of the deployment.
+    `load_factor` is a factor on the rates of the deployment. A VM of the first
+    zone gets `first_zone_factor` times as many requests as one of the others.
     """
 
     model: DeploymentModel
@@ -124,6 +125,7 @@
     load_factor: float = 1
     seed: int = 1
     faults: tuple[Fault, ...] = field(default=())
+    first_zone_factor: float = 1
 
 
 QASR_AL_JAMR = DeploymentModel(
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -81,6 +81,21 @@
         return dict(self.headers).get(name)
 
 
+@dataclass(slots=True)
+class Announcements:
+    """What the answers of a searcher say of itself.
+
+    Attributes:
+        is_leaving: Whether all its answers say that it is leaving.
+        retry_after_seconds: What it adds to refusals, None for nothing.
+        rate_limit: The requests per second that all its answers name, or None.
+    """
+
+    is_leaving: bool = False
+    retry_after_seconds: float | None = None
+    rate_limit: float | None = None
+
+
 class PlatformSearcherStandIn:
     """One searcher that serves on threads.
 
@@ -88,8 +103,7 @@
         work_seconds: Time that it takes for each request.
         next_behaviours: How it handles the next requests, in order.
         behaviour: How it handles requests once `next_behaviours` is empty.
-        is_leaving: Whether it says in all its answers that it is leaving.
-        retry_after_seconds: What it adds to refusals, None for nothing.
+        announced: What its answers say of itself.
         seen: All requests that arrived.
         abandoned_connections: Connections closed by the client during a
             request that was handled with SILENT.
@@ -108,8 +122,7 @@
         self.work_seconds = work_seconds
         self.next_behaviours: deque[Behaviour] = deque()
         self.behaviour = Behaviour.ANSWER
-        self.is_leaving = False
-        self.retry_after_seconds: float | None = None
+        self.announced = Announcements()
         self.seen: list[SeenRequest] = []
         self.abandoned_connections = 0
         self._listener = socket.create_server(
@@ -201,9 +214,16 @@
         return behaviour not in {Behaviour.CUT_SHORT, Behaviour.UNFRAMED}
 
     def _announcements(self, behaviour: Behaviour) -> list[bytes]:
-        headers = [b'Server-Leaving: 1'] if self.is_leaving else []
-        if behaviour is Behaviour.SHED and self.retry_after_seconds is not None:
-            headers.append(b'Retry-After: %g' % self.retry_after_seconds)
+        headers = [b'Server-Leaving: 1'] if self.announced.is_leaving else []
+        if self.announced.rate_limit is not None:
+            headers.append(b'Server-Limit: %g' % self.announced.rate_limit)
+        if (
+            behaviour is Behaviour.SHED
+            and self.announced.retry_after_seconds is not None
+        ):
+            headers.append(
+                b'Retry-After: %g' % self.announced.retry_after_seconds
+            )
         return headers
 
     def _answer(
