Log whether a VM reaches any searcher at all

No logic changes.

New: when no reply comes or no new connection succeeds, a VM probes six searchers of any service; 'no searcher reached' and 'searchers reached again' say what was silent or refused and when a searcher last replied; two gauges say the same.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -58,6 +58,7 @@
 from basilwall.routing.location import RoundTripTimes
 from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.routing_state import RoutingState
+from basilwall.routing.searcher_links import SearcherLinks
 from basilwall.routing.selection import SearcherSelector
 from basilwall.settings.current import CurrentSettings, SettingsError
 from basilwall.settings.entry import EntrySettings
@@ -113,8 +114,9 @@
         rate_limiter = RateLimiter(
             clock, rng, fleet.size, routing_state.searchers
         )
+        links = SearcherLinks(routing_state.addresses, clock, rng)
         ingress = _build_ingress(
-            current, routing_state, fleet, reporting, rate_limiter, rng
+            current, routing_state, fleet, reporting, rate_limiter, links, rng
         )
         _register_gauges(metrics, ingress, fleet, store_access, routing_state)
         metrics.add_gauge(
@@ -122,6 +124,16 @@
             'Searchers that name a limit on the rate of requests.',
             rate_limiter.limits.count,
         )
+        metrics.add_gauge(
+            'searcher_links_lost',
+            '1 while this VM reaches no searcher, else 0.',
+            lambda: links.are_lost,
+        )
+        metrics.add_gauge(
+            'searcher_reply_age_seconds',
+            'Time since a searcher last replied.',
+            links.reply_age_seconds,
+        )
         tasks.start(fleet.gossip.run)
         tasks.start(partial(store_access.watch.run, tasks.stopping))
         ready = partial(_readiness, routing_state, ingress.stop_state)
@@ -266,6 +278,7 @@
     fleet: Fleet,
     reporting: RequestReporter,
     rate_limiter: RateLimiter,
+    links: SearcherLinks,
     rng: random.Random,
 ) -> Ingress:
     settings, clock, tasks = current.value, BootClock(), fleet.tasks
@@ -290,7 +303,9 @@
     fleet.gossip.messages.apply_rate_limit = selector.apply_rate_limit
     routing_state.subscribe(pools.drop_unlisted)
     routing_state.subscribe(selector.forget_unlisted)
-    transport = SocketTransport(routing_state, selector, pools, codec, clock)
+    transport = SocketTransport(
+        routing_state, selector, pools, codec, links, clock
+    )
     retry_policy = RetryPolicy(lambda: current.value.bounds, fleet.size, clock)
     context = ForwardingContext(
         routing_state,
@@ -301,6 +316,7 @@
         clock,
     )
     tasks.start(partial(transport.superseded.run, tasks.stopping))
+    tasks.start(partial(links.run, tasks.stopping))
     tasks.start(partial(_run_housekeeping, pools, retry_policy, current, fleet))
     return Ingress(
         Forwarder(context, reporting, rng),
--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -75,6 +75,8 @@
         self.sent_at = clock.monotonic()
         self.is_sent = False
         self.may_keep_connection = False
+        #: How it ended, None before that and if it was cancelled.
+        self.outcome: AttemptResult | None = None
         self.stage = Stage.CONNECTING
         self._codec = codec
         self._clock = clock
@@ -100,13 +102,14 @@
             The result of the attempt, None while it is still in progress.
         """
         try:
-            return self._advance()
+            self.outcome = self._advance()
         except BlockingIOError:
             return None
         except OSError as error:
-            return self._failed(LossReason.CUT, str(error))
+            self.outcome = self._failed(LossReason.CUT, str(error))
         except InvalidReplyError as error:
-            return self._failed(LossReason.SPOILED, str(error))
+            self.outcome = self._failed(LossReason.SPOILED, str(error))
+        return self.outcome
 
     def cancel(self, reason: LossReason) -> AttemptResult:
         """End the attempt; its connection can not be reused."""
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -14,6 +14,7 @@
 from basilwall.records.forwarding import Call
 from basilwall.records.searcher import Searcher
 from basilwall.routing.routing_state import RoutingState
+from basilwall.routing.searcher_links import SearcherLinks
 from basilwall.routing.selection import SearcherSelector
 
 
@@ -26,6 +27,7 @@
         selector: SearcherSelector,
         pools: ConnectionPools[SearcherConnection],
         codec: AttemptCodec,
+        links: SearcherLinks,
         clock: Clock,
     ) -> None:
         self.superseded = SupersededAttempts(
@@ -34,6 +36,7 @@
         self._routing_state = routing_state
         self._pools = pools
         self._codec = codec
+        self._links = links
         self._clock = clock
 
     def make_waiter(self, caller: socket.socket | None) -> SocketWaiter:
@@ -44,6 +47,7 @@
         self, call: Call, searcher: Searcher, deadline: float
     ) -> SocketAttempt:
         """Prepare an attempt on an idle connection, or on a new one."""
+        self._links.record_started(searcher)
         return SocketAttempt(
             call,
             self._pools.checkout(searcher),
@@ -55,6 +59,10 @@
 
     def release_connection(self, attempt: SocketAttempt) -> None:
         """Return the connection of an ended attempt to its pool or close it."""
+        if attempt.connection.connect_seconds is not None:
+            self._links.record_connected()
+        if attempt.outcome is not None:
+            self._links.record_result(attempt.searcher, attempt.outcome)
         if attempt.may_keep_connection:
             self._pools.check_in(attempt.connection)
         else:
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -110,13 +110,17 @@
             self._remove_expired_holds()
         return self._searchers_by_service.get(service, ())
 
+    def addresses(self) -> set[SearcherAddress]:
+        """Return the addresses of all listed searchers."""
+        return {searcher.address for searcher in self._searchers_by_id.values()}
+
     def all_addresses(self, service: ServiceName) -> set[SearcherAddress]:
         """Return the addresses of the searchers of all services.
 
         A network cut of an availability zone or a rack affects searchers of
         many services, so `service` does not restrict the result.
         """
-        return {searcher.address for searcher in self._searchers_by_id.values()}
+        return self.addresses()
 
     def is_usable(self, searcher: Searcher) -> bool:
         """Return whether a searcher may still get new requests."""
