--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -19,6 +19,7 @@
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier
+from basilwall.backend.probe import find_dead
 from basilwall.configuration.platform_watch import PlatformWatch
 from basilwall.fleet.catch_up import CatchUp
 from basilwall.fleet.change_client import ChangeClient
@@ -114,7 +115,7 @@
         rate_limiter = RateLimiter(
             clock, rng, fleet.size, routing_state.searchers
         )
-        links = SearcherLinks(routing_state.addresses, clock, rng)
+        links = SearcherLinks(routing_state.addresses, clock, rng, find_dead)
         ingress = _build_ingress(
             current, routing_state, fleet, reporting, rate_limiter, links, rng
         )
@@ -289,7 +290,7 @@
         round_trips,
         clock,
         fleet.size,
-        lambda searcher: SearcherConnection(searcher, clock),
+        partial(SearcherConnection, clock=clock),
     )
     selector = SearcherSelector(
         routing_state,
