Ask VMs in time when a request is relayed, and tell them of lost links at once

Now no VM is asked without time for its answer, an expired request ends 504, a change of the links is pushed to peers at once, and a VM that did not take a request is asked last for 3 s. A probe during which the process itself was held up says nothing.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -144,6 +144,7 @@
 
 def _announce_links(fleet: Fleet, are_lost: bool) -> None:
     fleet.membership.announce_links(reaches_searchers=not are_lost)
+    fleet.gossip.push_to_peers()
 
 
 def _build_crash_detector(
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 
 from basilwall.forwarding.answers import (
     HTTP_BAD_GATEWAY,
+    HTTP_GATEWAY_TIMEOUT,
     HTTP_OK,
     RETRY_AFTER_NO_SEARCHER_SECONDS,
     AnswerBuilder,
@@ -189,6 +190,8 @@
             if relayed.answer is not None:
                 return relayed.answer
             may_have_run |= relayed.may_have_run
+        if may_have_run and self._has_expired(call, route):
+            return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
         if may_have_run:
             return Answer(Verdict.LOST, HTTP_BAD_GATEWAY)
         return self._answers.refusal(
@@ -217,16 +220,22 @@
             version = max(version, self._relay.seen_version)
         if route is None:
             return RelayRequest(
-                call, RetrySafety.AT_MOST_ONCE, (), call.expires_at, version
+                call,
+                RetrySafety.AT_MOST_ONCE,
+                (),
+                _deadline(call, route),
+                version,
             )
         services = [
             subrequest.service for subrequest in self._subrequests(route)
         ]
-        deadline = min(call.expires_at, call.received_at + route.timeout)
         return RelayRequest(
-            call, route.retry_safety, services, deadline, version
+            call, route.retry_safety, services, _deadline(call, route), version
         )
 
+    def _has_expired(self, call: Call, route: Route | None) -> bool:
+        return self._context.clock.monotonic() >= _deadline(call, route)
+
     def _subrequests(self, route: Route) -> list[SubRequest]:
         scatter_gather = route.scatter_gather
         if scatter_gather is not None:
@@ -255,6 +264,13 @@
         execution.close(caller_left=False)
 
 
+def _deadline(call: Call, route: Route | None) -> float:
+    """Return when an answer is due, in monotonic seconds."""
+    if route is None:
+        return call.expires_at
+    return min(call.expires_at, call.received_at + route.timeout)
+
+
 def _completion_policy(call: Call, route: Route) -> CompletionPolicy:
     if route.scatter_gather is None:
         return SingleCompletion(call, route)
--- a/basilwall/relaying/peers.py
+++ b/basilwall/relaying/peers.py
@@ -8,7 +8,7 @@
 from basilwall.routing.location import Distance, VmLocation
 
 #: A VM that did not serve a relayed request is asked last for this long.
-AVOID_SECONDS = 1.0
+AVOID_SECONDS = 3.0
 _RANK_BY_DISTANCE = {
     Distance.SAME_ZONE: 0,
     Distance.SAME_REGION: 1,
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -40,7 +40,7 @@
 #: An idempotent request is sent to another VM if one is silent for this long.
 SILENCE_SECONDS = 1.0
 #: Time reserved for the answer to travel back.
-RETURN_MARGIN_SECONDS = 0.03
+RETURN_MARGIN_SECONDS = 0.05
 NO_SERVICE = ServiceName('')
 
 
@@ -113,7 +113,7 @@
         """
         may_have_run = False
         for peer in self._peers.candidates(self._rng)[:MAX_VMS]:
-            if may_have_run and not self._may_repeat(request):
+            if not self._may_ask(request, may_have_run=may_have_run):
                 break
             outcome = self._ask(request, peer, waiter)
             answer = self._answer(outcome)
@@ -132,8 +132,13 @@
             self._peers.avoid(peer)
         return RelayResult(None, may_have_run)
 
-    def _may_repeat(self, request: RelayRequest) -> bool:
-        """Return whether a request that may have run may be sent once more."""
+    def _may_ask(self, request: RelayRequest, *, may_have_run: bool) -> bool:
+        """Return whether there is time to ask a VM, and it may be asked."""
+        latest = request.deadline - RETURN_MARGIN_SECONDS
+        if self._clock.monotonic() >= latest:
+            return False
+        if not may_have_run:
+            return True
         if request.retry_safety is not RetrySafety.IDEMPOTENT:
             return False
         return self._retry_policy.spend_each(request.services)
--- a/basilwall/routing/searcher_links.py
+++ b/basilwall/routing/searcher_links.py
@@ -32,6 +32,8 @@
 #: Searchers that are probed at a time, and for how long.
 MAX_PROBED = 6
 PROBE_SECONDS = 0.3
+#: The result of a probe that took longer says nothing.
+MAX_PROBE_SECONDS = 0.5
 
 _log = logging.getLogger(__name__)
 
@@ -106,7 +108,11 @@
         probed = self._rng.sample(addresses, min(len(addresses), MAX_PROBED))
         if not probed:
             return
+        started_at = self._clock.monotonic()
         dead = self._probe(probed, PROBE_SECONDS)
+        # A process that was held up itself misses connections that succeeded.
+        if self._clock.monotonic() - started_at > MAX_PROBE_SECONDS:
+            return
         are_lost = len(dead) == len(probed)
         if are_lost is not self.are_lost:
             self._log_change(len(probed), are_lost=are_lost)
--- a/basilwall/routing/searcher_links_test.py
+++ b/basilwall/routing/searcher_links_test.py
@@ -19,17 +19,21 @@
 class Network:
     """The searchers that accept no connection, as a test sets them."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self.clock = clock
         self.dead = set()
         self.probes = 0
+        self.probe_seconds = 0
 
     def probe(self, addresses, _):
         self.probes += 1
+        self.clock.advance(self.probe_seconds)
         return self.dead & set(addresses)
 
 
 def make():
-    clock, network = ManualClock(), Network()
+    clock = ManualClock()
+    network = Network(clock)
     links = SearcherLinks(
         lambda: ADDRESSES, clock, random.Random(1), network.probe
     )
@@ -105,3 +109,12 @@
     network.dead = set()
     links.check()
     assert not links.are_lost
+
+
+def test_a_vm_that_was_held_up_during_a_probe_keeps_its_links():
+    links, clock, network = make()
+    network.dead, network.probe_seconds = ADDRESSES, 2
+    start_attempts(links, 3)
+    clock.advance(1)
+    links.check()
+    assert not links.are_lost
