Bound the memory of replies without end, over all connections

What a searcher in trouble may do: send bytes that are no answer without end, in a head or a body, until we close. Cause of the fault: each reply could hold 16 MB by itself, with no limit over all connections, and trailers, interim responses and replies to other requests counted by their bytes only.

Now a reply has 16 KiB of its own, what is beyond that is reserved from a fifth of the VM's memory, of which one reply gets a quarter at most. So endless replies compete among each other and small ones always have room. Heads with their trailers are limited to 64 KiB and skipped messages to 16. An attempt that is given up closes its connection, and other searchers are tried as after any spoiled reply.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -126,6 +126,7 @@
             serving.callers,
             acceptors,
             fleet,
+            serving.reply_memory,
             clock,
         )
 
@@ -292,6 +293,11 @@
         '1 while this VM reaches no searcher, else 0.',
         lambda: links.are_lost,
     )
+    add(
+        'reply_memory_bytes',
+        'Memory of large replies that are being read.',
+        lambda: serving.reply_memory.used,
+    )
     add(
         'searcher_reply_age_seconds',
         'Time since a searcher last replied.',
--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -17,6 +17,7 @@
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_transport import SocketTransport
 from basilwall.ingress.server import Ingress
+from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.routes import CallerLimits
@@ -38,6 +39,9 @@
 RESERVED_DESCRIPTORS = 400
 #: Upper bound of the headers that a VM adds to a request that it relays.
 RELAY_HEADER_BYTES = 512
+BYTES_PER_MB = 1_000_000
+#: Share of this VM's memory for replies that are being read.
+REPLY_MEMORY_RATIO = 0.2
 HOUSEKEEPING_INTERVAL_SECONDS = 0.5
 
 
@@ -49,6 +53,7 @@
     vms: Ingress
     rate_limiter: RateLimiter
     links: SearcherLinks
+    reply_memory: ByteBudget
 
 
 def build_serving(
@@ -72,6 +77,9 @@
     settings, tasks, codec = current.value, fleet.tasks, HeaderCodec()
     rate_limiter = RateLimiter(clock, rng, fleet.size, routing_state.searchers)
     links = SearcherLinks(routing_state.addresses, clock, rng, find_dead)
+    memory = ByteBudget(
+        int(settings.memory_mb * BYTES_PER_MB * REPLY_MEMORY_RATIO)
+    )
     round_trips = RoundTripTimes(settings.place)
     pools = ConnectionPools(
         routing_state,
@@ -93,7 +101,7 @@
     routing_state.subscribe(pools.drop_unlisted)
     routing_state.subscribe(selector.forget_unlisted)
     transport = SocketTransport(
-        routing_state, selector, pools, codec, links, clock
+        routing_state, selector, pools, codec, links, memory, clock
     )
     retry_policy = RetryPolicy(lambda: current.value.bounds, fleet.size, clock)
     context = ForwardingContext(
@@ -106,7 +114,7 @@
         lambda: links.are_lost,
     )
     links.on_change = partial(_announce_links, fleet)
-    relay_connections = RelayConnections(clock)
+    relay_connections = RelayConnections(clock, memory)
     relay = Relay(
         RelayPeers(fleet.membership, settings.place, clock),
         relay_connections,
@@ -139,7 +147,7 @@
         codec=RelayedCallerCodec(codec),
         limits=partial(_relay_limits, routing_state),
     )
-    return Serving(callers, vms, rate_limiter, links)
+    return Serving(callers, vms, rate_limiter, links, memory)
 
 
 def _announce_links(fleet: Fleet, are_lost: bool) -> None:
--- a/basilwall/forwarding/reply_reader.py
+++ b/basilwall/forwarding/reply_reader.py
@@ -11,12 +11,20 @@
 
 import httptools
 
+from basilwall.parts.byte_budget import ByteBudget
 from basilwall.records.forwarding import ReplyHead
 
 #: Largest accepted head of a reply.
 MAX_HEAD_BYTES = 65_536
 #: A larger reply ends the attempt.
 MAX_REPLY_BYTES = 16_777_216
+#: No reply may use more than this share of the memory for all of them.
+MAX_REPLY_SHARE = 0.25
+#: What a reply may use in any case. Replies to queries are smaller, so that one
+#: without end can't take the memory for them.
+FREE_REPLY_BYTES = 16_384
+#: Interim responses and replies to other requests that are skipped.
+MAX_SKIPPED_MESSAGES = 16
 HEAD = b'HEAD'
 #: Lower statuses are interim responses, which precede the final one.
 FIRST_FINAL_STATUS = 200
@@ -49,7 +57,18 @@
         self,
         method: bytes,
         is_own_reply: Callable[[ReplyHead], bool],
+        memory: ByteBudget,
     ) -> None:
+        """Start before the first byte of the reply.
+
+        Args:
+            method: The method of the request.
+            is_own_reply: Returns whether a reply answers the request.
+            memory: Limits the bytes of all replies that are being read.
+        """
+        self._memory = memory
+        self._reserved = 0
+        self._max_size = min(MAX_REPLY_BYTES, memory.limit * MAX_REPLY_SHARE)
         self._has_body = method != HEAD
         self._is_own_reply = is_own_reply
         self._size = 0
@@ -70,10 +89,7 @@
         if not chunk:
             return self._end_connection()
         self._size += len(chunk)
-        if self._size > MAX_REPLY_BYTES:
-            raise InvalidReplyError(
-                f'reply larger than {MAX_REPLY_BYTES} bytes',
-            )
+        self._reserve_memory()
         parse_error = self._messages.feed(chunk)
         complete = self._find()
         # Invalid bytes after the reply affect the connection, not the reply.
@@ -85,9 +101,30 @@
             )
         return complete
 
+    def close(self) -> None:
+        """Release the memory of the reply; it may be called twice."""
+        self._memory.release(self._reserved)
+        self._reserved = 0
+
+    def _reserve_memory(self) -> None:
+        if self._size > self._max_size:
+            raise InvalidReplyError(
+                f'reply larger than {int(self._max_size)} bytes',
+            )
+        needed = self._size - FREE_REPLY_BYTES - self._reserved
+        if needed <= 0:
+            return
+        if not self._memory.reserve(needed):
+            raise InvalidReplyError(
+                f'replies larger than {self._memory.limit} bytes together',
+            )
+        self._reserved += needed
+
     def _find(self) -> CompleteReply | None:
         """Return the first final reply to this request, if it is complete."""
         messages = self._messages
+        if len(messages.complete) > MAX_SKIPPED_MESSAGES:
+            raise InvalidReplyError('too many other messages')
         for position, message in enumerate(messages.complete, start=1):
             if self._is_final_reply(message.head):
                 is_last = position == len(messages.complete)
@@ -144,6 +181,7 @@
         self.head: ReplyHead | None = None
         self._reason = b''
         self._headers: list[tuple[bytes, bytes]] = []
+        self._header_size = 0
         self._chunks: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
 
@@ -165,6 +203,7 @@
         self.head = None
         self._reason = b''
         self._headers = []
+        self._header_size = 0
         self._chunks = []
 
     def on_status(self, reason: bytes) -> None:
@@ -172,7 +211,10 @@
         self._reason += reason
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Append a header."""
+        """Append a header, or a trailer after the body."""
+        self._header_size += len(name) + len(text)
+        if self._header_size > MAX_HEAD_BYTES:
+            raise ValueError(f'headers larger than {MAX_HEAD_BYTES} bytes')
         self._headers.append((name, text.strip(HEADER_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
--- a/basilwall/forwarding/reply_reader_test.py
+++ b/basilwall/forwarding/reply_reader_test.py
@@ -8,7 +8,9 @@
 from hypothesis import strategies as st
 
 from basilwall.forwarding.reply_reader import InvalidReplyError, ReplyReader
+from basilwall.parts.byte_budget import ByteBudget
 
+MEMORY_BYTES = 20_000_000
 OWN = b'HTTP/1.1 200 OK\r\nRequest-Id: own\r\nContent-Length: 3\r\n\r\nabc'
 OTHER = b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nxy'
 CHUNKED = (
@@ -23,7 +25,7 @@
 
 
 def reader():
-    return ReplyReader(b'GET', is_own)
+    return ReplyReader(b'GET', is_own, ByteBudget(MEMORY_BYTES))
 
 
 def feed(reply_reader, stream, cuts, closes=False):
@@ -52,7 +54,7 @@
 
 
 def test_a_reply_to_head_has_no_body():
-    reply_reader = ReplyReader(b'HEAD', is_own)
+    reply_reader = ReplyReader(b'HEAD', is_own, ByteBudget(MEMORY_BYTES))
     parsed = reply_reader.feed(OWN.partition(b'abc')[0])
     assert (parsed.body, parsed.may_reuse_connection) == (b'', True)
 
@@ -169,3 +171,57 @@
         (b'X-a', b''),
         (b'X-a', b'2'),
     )
+
+
+ENDLESS_HEAD = (b'HTTP/1.1 200 OK\r\n', b'X-More: more\r\n')
+ENDLESS_REASON = (b'HTTP/1.1 200 ', b'more')
+ENDLESS_BODY = (b'HTTP/1.1 200 OK\r\n\r\n', b'more')
+ENDLESS_CHUNKS = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    b'4\r\nmore\r\n',
+)
+ENDLESS_TRAILERS = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+    b'X-More: more\r\n',
+)
+ENDLESS_INTERIM = (b'', b'HTTP/1.1 100 Continue\r\n\r\n')
+ENDLESS_OTHERS = (b'', OTHER)
+
+
+@pytest.mark.parametrize(
+    'stream',
+    [
+        ENDLESS_HEAD,
+        ENDLESS_REASON,
+        ENDLESS_BODY,
+        ENDLESS_CHUNKS,
+        ENDLESS_TRAILERS,
+        ENDLESS_INTERIM,
+        ENDLESS_OTHERS,
+    ],
+)
+def test_bytes_without_end_are_given_up_within_their_memory(stream):
+    start, repeated = stream
+    budget = ByteBudget(400_000)
+    reply_reader = ReplyReader(b'GET', is_own, budget)
+    chunk = repeated * 200
+    with pytest.raises(InvalidReplyError):
+        for number in range(100_000 // len(chunk) + 2):
+            reply_reader.feed(start + chunk if not number else chunk)
+    assert budget.used <= budget.limit / 4
+    reply_reader.close()
+    assert not budget.used
+
+
+def test_replies_without_end_leave_room_for_small_ones():
+    budget = ByteBudget(400_000)
+    endless = [ReplyReader(b'GET', is_own, budget) for _ in range(20)]
+    given_up = 0
+    for reply_reader in endless:
+        try:
+            reply_reader.feed(ENDLESS_BODY[0] + b'x' * 90_000)
+        except InvalidReplyError:
+            given_up += 1
+    assert given_up >= 15
+    assert budget.used <= budget.limit
+    assert ReplyReader(b'GET', is_own, budget).feed(OWN).body == b'abc'
--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -17,6 +17,7 @@
     ReplyReader,
 )
 from basilwall.forwarding.transport import Attempt
+from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import (
     AttemptResult,
@@ -56,6 +57,7 @@
         clock: Clock,
         deadline: float,
         may_send: Callable[[], bool],
+        memory: ByteBudget,
     ) -> None:
         """Prepare an attempt.
 
@@ -67,8 +69,10 @@
             deadline: Nothing is sent after this time, in monotonic seconds.
             may_send: Called right before the first byte is sent, because the
                 searcher may have left while the connection was being opened.
+            memory: Limits the bytes of all replies that are being read.
         """
         self._may_send = may_send
+        self._memory = memory
         self.call = call
         self.connection = connection
         self.searcher = connection.searcher
@@ -126,6 +130,7 @@
 
     def _failed(self, reason: LossReason, detail: str) -> AttemptResult:
         self.may_keep_connection = False
+        self._release_memory()
         if self.is_sent:
             return Lost(self.searcher.searcher_id, reason, detail)
         if self.stage is Stage.CONNECTING:
@@ -142,6 +147,7 @@
         self._reader = ReplyReader(
             self.call.method,
             partial(self._codec.is_reply_to, self.call),
+            self._memory,
         )
         encoded = self._codec.encode_attempt(
             self.call, self.searcher.searcher_id, time_left
@@ -172,7 +178,12 @@
                 return self._finish(reply)
         return None
 
+    def _release_memory(self) -> None:
+        if self._reader is not None:
+            self._reader.close()
+
     def _finish(self, reply: CompleteReply) -> AttemptResult:
+        self._release_memory()
         is_request_sent = not (self._unsent or self._is_send_interrupted)
         self.may_keep_connection = (
             reply.may_reuse_connection and is_request_sent
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -10,6 +10,7 @@
 from basilwall.forwarding.socket_waiter import SocketWaiter
 from basilwall.forwarding.superseded import SupersededAttempts
 from basilwall.forwarding.transport import Transport
+from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import Call
 from basilwall.records.searcher import Searcher
@@ -28,6 +29,7 @@
         pools: ConnectionPools[SearcherConnection],
         codec: AttemptCodec,
         links: SearcherLinks,
+        memory: ByteBudget,
         clock: Clock,
     ) -> None:
         self.superseded = SupersededAttempts(
@@ -37,6 +39,7 @@
         self._pools = pools
         self._codec = codec
         self._links = links
+        self._memory = memory
         self._clock = clock
 
     def make_waiter(self, caller: socket.socket | None) -> SocketWaiter:
@@ -55,6 +58,7 @@
             self._clock,
             deadline,
             partial(self._routing_state.is_usable, searcher),
+            self._memory,
         )
 
     def release_connection(self, attempt: SocketAttempt) -> None:
--- a/basilwall/ingress/vm.py
+++ b/basilwall/ingress/vm.py
@@ -13,6 +13,7 @@
 
 from basilwall.fleet.entry_fleet import Fleet
 from basilwall.ingress.server import Acceptor, Ingress
+from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.routing.routing_state import RoutingState
 from basilwall.settings.current import CurrentSettings
@@ -38,6 +39,7 @@
     ingress: Ingress
     acceptors: tuple[Acceptor, ...]
     fleet: Fleet
+    reply_memory: ByteBudget
     clock: Clock
 
     def stop(self) -> bool:
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -158,6 +158,7 @@
             self._clock,
             request.deadline - RETURN_MARGIN_SECONDS,
             _always,
+            self._connections.memory,
         )
         with self._releasing(attempt, connection, waiter):
             return self._wait(request, attempt, waiter)
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -14,6 +14,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import Enum
+from types import MappingProxyType
 
 import h11
 
@@ -21,6 +22,8 @@
 
 READ_BYTES = 65_536
 BACKLOG = 256
+#: How often the bytes of an endless answer are repeated in one send.
+ENDLESS_REPEATS = 500
 HTTP_OK = 200
 HTTP_MISDIRECTED = 421
 HTTP_ERROR = 500
@@ -43,6 +46,8 @@
     UNFRAMED: Answers without Content-Length and closes the connection.
     SILENT: Sends nothing until the client closes the connection.
     UNAVAILABLE: Answers with 503, without `Not-Executed`.
+    ENDLESS_HEAD: Sends headers until the client closes the connection.
+    ENDLESS_BODY: Sends a body until the client closes the connection.
     CRASH: Stops listening and resets all connections.
     """
 
@@ -57,9 +62,26 @@
     UNFRAMED = 'unframed'
     SILENT = 'silent'
     UNAVAILABLE = 'unavailable'
+    ENDLESS_HEAD = 'endless_head'
+    ENDLESS_BODY = 'endless_body'
     CRASH = 'crash'
 
 
+#: What is sent first, and then again and again.
+_ENDLESS_BY_BEHAVIOUR = MappingProxyType(
+    {
+        Behaviour.ENDLESS_HEAD: (
+            b'HTTP/1.1 200 OK\r\n',
+            b'X-More: more\r\n' * ENDLESS_REPEATS,
+        ),
+        Behaviour.ENDLESS_BODY: (
+            b'HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n\r\n',
+            b'more' * ENDLESS_REPEATS,
+        ),
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class SeenRequest:
     """One request as it arrived.
@@ -207,6 +229,10 @@
         if behaviour is Behaviour.RESET:
             _reset(connection)
             return False
+        endless = _ENDLESS_BY_BEHAVIOUR.get(behaviour)
+        if endless is not None:
+            _send_without_end(connection, *endless)
+            return False
         response = self._response(behaviour, request_id)
         status_line, _, rest = response.partition(b'\r\n')
         more = self._announcements(behaviour)
@@ -257,6 +283,14 @@
         return by_behaviour.get(behaviour, answer)
 
 
+def _send_without_end(
+    connection: socket.socket, start: bytes, repeated: bytes
+) -> None:
+    connection.sendall(start)
+    while True:
+        connection.sendall(repeated)
+
+
 def _read(connection: socket.socket) -> SeenRequest | None:
     http = h11.Connection(h11.SERVER)
     events: list[object] = []
