Bound what is read of the store and of other VMs, too

The same class of fault as replies without end: the clients of the store and of other VMs read a response to its end, however long. Now 32 MiB are read at most, many times the largest response, and a longer one counts as a failed read. Heads were limited by http.client already.

--- a/basilwall/fleet/http_calls.py
+++ b/basilwall/fleet/http_calls.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from basilwall.parts.deadline_socket import DeadlineSocket
+from basilwall.parts.limited_read import read_body
 from basilwall.records.ids import VmAddress
 
 HTTP_OK = 200
@@ -45,6 +46,6 @@
         connection.sock = deadline_socket
         connection.request('POST', path, body)
         response = connection.getresponse()
-        return response.status, response.read()
+        return response.status, read_body(response)
     finally:
         connection.close()
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -27,6 +27,7 @@
     PlatformReader,
     WatchReply,
 )
+from basilwall.parts.limited_read import read_body
 from basilwall.records.catalogue import PublishedValue
 
 #: Added to the duration of a watch to get the timeout of its call.
@@ -174,7 +175,7 @@
             _ensure_connected(connection, timeout)
             connection.request('GET', path)
             response = connection.getresponse()
-            body = response.read()
+            body = read_body(response)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise PlatformError(repr(error)) from error
