Take lost links for no evidence against request contents

Two suffice to quarantine a content, for callers of all VMs. Cause: a loss is excused if unrelated searchers died in the same 0.1 s, and with all links lost each loss after the first finds them dead for longer. Now a strike counts only if the VM still reaches some searcher, by a probe at that moment.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -109,7 +109,7 @@
         selector,
         transport,
         retry_policy,
-        _build_crash_detector(routing_state, fleet, clock, rng),
+        _build_crash_detector(routing_state, fleet, links, clock, rng),
         clock,
         lambda: links.are_lost,
     )
@@ -158,6 +158,7 @@
 def _build_crash_detector(
     routing_state: RoutingState,
     fleet: Fleet,
+    links: SearcherLinks,
     clock: Clock,
     rng: random.Random,
 ) -> ProbingCrashDetector:
@@ -166,6 +167,7 @@
         LossClassifier(routing_state.all_addresses, clock, rng),
         fleet.tasks,
         fleet.membership.own.incarnation,
+        links.examine,
     )
     crash_detector.on_change = fleet.gossip.push_to_peers
     return crash_detector
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -57,7 +57,19 @@
         loss_classifier: LossClassifier,
         tasks: TaskGroup,
         name: str,
+        links_work: Callable[[], bool],
     ) -> None:
+        """Make a detector.
+
+        Args:
+            quarantine: Keeps the strikes against contents.
+            loss_classifier: Probes lost searchers.
+            tasks: Runs the probes.
+            name: Unique name of this process, for the ids of its strikes.
+            links_work: Probes whether this VM reaches any searcher. If not, a
+                lost searcher says nothing of the request.
+        """
+        self._links_work = links_work
         self.on_change: Callable[[], None] = _ignore_change
         self._quarantine = quarantine
         self._loss_classifier = loss_classifier
@@ -113,7 +125,7 @@
                 'evidence': evidence.name.lower(),
             },
         )
-        if evidence is Evidence.DIED:
+        if evidence is Evidence.DIED and self._links_work():
             incident = IncidentId(next(self._incident_ids))
             strike = Strike(incident, searcher.address, evidence)
             self._quarantine.strike(content, [strike])
--- a/basilwall/routing/searcher_links.py
+++ b/basilwall/routing/searcher_links.py
@@ -70,6 +70,7 @@
         self._silent_since_by_id: dict[SearcherId, float] = {}
         self._failed_connects: set[SearcherId] = set()
         self._lock = threading.Lock()
+        self._probe_lock = threading.Lock()
 
     def run(self, stopping: threading.Event) -> None:
         """Check the links until `stopping` is set."""
@@ -102,8 +103,16 @@
 
     def check(self) -> None:
         """Probe searchers if the links are lost or seem to be."""
-        if not (self.are_lost or self._seem_lost()):
-            return
+        if self.are_lost or self._seem_lost():
+            self.examine()
+
+    def examine(self) -> bool:
+        """Probe searchers now; return whether this VM reaches any."""
+        with self._probe_lock:
+            self._probe_links()
+        return not self.are_lost
+
+    def _probe_links(self) -> None:
         addresses = sorted(self._addresses())
         probed = self._rng.sample(addresses, min(len(addresses), MAX_PROBED))
         if not probed:
