Let a VM behind in documents serve relayed requests until newer ones were seen

Cause: a VM without links had it first and asked for a VM with the same version, while the three VMs that reached searchers were turned away by the store and had the one before. Only a version that a caller of this VM has been served by must not be gone behind, so the request now names that one, and another VM is asked if an older table lacks its route. Tests of the relay against VMs that don't take a request, close, answer 404 by an older or by the current table: the new cases of routes failed before, as requests named the version of the VM itself.

--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -96,6 +96,8 @@
             return Answer(Verdict.NO_ROUTE, HTTP_NOT_FOUND)
         if self._context.are_links_lost():
             return self._have_relayed(call, route, caller, trail)
+        if self._relay is not None and table is not None:
+            self._relay.note_version(table.version)
         return self._forward(call, route, caller, trail)
 
     def _refuse_at_once(
@@ -183,7 +185,7 @@
         """
         if self._relay is not None:
             relayed = self._relay.serve(
-                self._relay_request(call, route),
+                self._relay_request(call, route, self._relay),
                 self._context.transport.make_waiter(caller),
                 trail,
             )
@@ -213,24 +215,23 @@
         is_repeatable = route.retry_safety is RetrySafety.IDEMPOTENT
         return is_repeatable and self._context.retry_policy.spend_each(reached)
 
-    def _relay_request(self, call: Call, route: Route | None) -> RelayRequest:
+    def _relay_request(
+        self, call: Call, route: Route | None, relay: Relay
+    ) -> RelayRequest:
         table = self._context.routing_state.table
-        version = table.version if table else 0
-        if self._relay is not None:
-            version = max(version, self._relay.seen_version)
-        if route is None:
-            return RelayRequest(
-                call,
-                RetrySafety.AT_MOST_ONCE,
-                (),
-                _deadline(call, route),
-                version,
-            )
-        services = [
-            subrequest.service for subrequest in self._subrequests(route)
-        ]
+        retry_safety, services = RetrySafety.AT_MOST_ONCE, []
+        if route is not None:
+            retry_safety = route.retry_safety
+            services = [
+                subrequest.service for subrequest in self._subrequests(route)
+            ]
         return RelayRequest(
-            call, route.retry_safety, services, _deadline(call, route), version
+            call,
+            retry_safety,
+            services,
+            _deadline(call, route),
+            min_version=relay.seen_version,
+            known_version=table.version if table else 0,
         )
 
     def _has_expired(self, call: Call, route: Route | None) -> bool:
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -41,6 +41,7 @@
 SILENCE_SECONDS = 1.0
 #: Time reserved for the answer to travel back.
 RETURN_MARGIN_SECONDS = 0.05
+HTTP_NOT_FOUND = 404
 NO_SERVICE = ServiceName('')
 
 
@@ -49,8 +50,9 @@
     """A request to relay.
 
     `deadline` is when this VM must have an answer, in monotonic seconds.
-    `min_version` is the oldest route table that may serve it. `services` are
-    charged if it is sent a second time after it may have run.
+    `min_version` is the oldest route table that may serve it, `known_version`
+    that of this VM: if an older one has no route, another VM is asked.
+    `services` are charged if it is sent a second time after it may have run.
     """
 
     call: Call
@@ -58,6 +60,7 @@
     services: Sequence[ServiceName]
     deadline: float
     min_version: int
+    known_version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +86,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        #: Newest version of the route table by which another VM answered.
+        #: Newest version of the route table by which a caller was served here.
         self.seen_version = 0
         self._peers = peers
         self._connections = connections
@@ -92,6 +95,10 @@
         self._clock = clock
         self._rng = rng
 
+    def note_version(self, version: int) -> None:
+        """Record that a caller of this VM is served by a route table."""
+        self.seen_version = max(self.seen_version, version)
+
     def serve(
         self,
         request: RelayRequest,
@@ -116,7 +123,7 @@
             if not self._may_ask(request, may_have_run=may_have_run):
                 break
             outcome = self._ask(request, peer, waiter)
-            answer = self._answer(outcome)
+            answer = self._answer(outcome, request.known_version)
             event = 'relayed' if answer else _describe(outcome)
             trail.add(
                 Step(
@@ -200,13 +207,17 @@
                 connection, may_keep=attempt.may_keep_connection
             )
 
-    def _answer(self, outcome: AttemptResult) -> Answer | None:
+    def _answer(
+        self, outcome: AttemptResult, known_version: int
+    ) -> Answer | None:
         if not isinstance(outcome, Reply):
             return None
         if self._codec.is_not_taken(outcome):
             return None
         version = self._codec.table_version(outcome)
-        self.seen_version = max(self.seen_version, version)
+        if outcome.status == HTTP_NOT_FOUND and version < known_version:
+            return None
+        self.note_version(version)
         return Answer(
             Verdict.RELAYED,
             outcome.status,
--- /dev/null
+++ b/basilwall/relaying/relay_test.py
@@ -0,0 +1,160 @@
+"""Tests of which VM serves a relayed request, and by which route table."""
+
+import random
+import socket
+import threading
+from contextlib import contextmanager
+
+import pytest
+
+from basilwall.forwarding.reporting import Trail
+from basilwall.forwarding.socket_waiter import SocketWaiter
+from basilwall.parts.byte_budget import ByteBudget
+from basilwall.parts.clock import SystemClock
+from basilwall.parts.membership import Member, Membership
+from basilwall.platform.codec import HeaderCodec
+from basilwall.records.forwarding import Call
+from basilwall.records.routes import RetrySafety
+from basilwall.relaying.codec import RelayCodec
+from basilwall.relaying.connections import RelayConnections
+from basilwall.relaying.peers import RelayPeers
+from basilwall.relaying.relay import Relay, RelayRequest
+from basilwall.routing.location import VmLocation
+
+HEAD = b'GET /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n'
+#: What a VM does with a relayed request, when it does not answer.
+CLOSES = b''
+
+
+class Budgets:
+    """The retry budgets; counts what is charged."""
+
+    def __init__(self, allowed=True):
+        self.allowed = allowed
+        self.charged = []
+
+    def spend_each(self, services):
+        self.charged += services
+        return self.allowed
+
+
+def answer(status, version, more=b''):
+    return (
+        b'HTTP/1.1 %d X\r\nRequest-Id: 1\r\nBasilwall-Table-Version: %d\r\n'
+        b'%bConnection: close\r\nContent-Length: 2\r\n\r\nok'
+        % (status, version, more)
+    )
+
+
+def serve_vm(listener, response, seen):
+    while True:
+        try:
+            accepted, _ = listener.accept()
+        except OSError:
+            return
+        with accepted:
+            seen.append(accepted.recv(65536))
+            accepted.sendall(response)
+
+
+@contextmanager
+def relay_to(*responses, budgets=None):
+    """Run VMs that give these responses, the first one the nearest.
+
+    Yields:
+        The relay, and what each VM got.
+    """
+    clock = SystemClock()
+    zones = [f'z{number}' for number in range(len(responses))]
+    regions = {zone: 'r' if zone == 'z0' else zone for zone in zones}
+    membership = Membership(Member('own:1'), clock)
+    listeners, seen = [], []
+    for zone, response in zip(zones, responses, strict=True):
+        listener = socket.create_server(('127.0.0.1', 0))
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
+        listeners.append(listener)
+        seen.append([])
+        threading.Thread(
+            target=serve_vm, args=(listener, response, seen[-1]), daemon=True
+        ).start()
+        membership.record_contact(
+            Member(f'{zone}:1', zone=zone, relay_address=address)
+        )
+    location = VmLocation('z0', regions)
+    relay = Relay(
+        RelayPeers(membership, location, clock),
+        RelayConnections(clock, ByteBudget(1_000_000)),
+        RelayCodec(HeaderCodec()),
+        budgets or Budgets(),
+        clock,
+        random.Random(1),
+    )
+    try:
+        yield relay, seen
+    finally:
+        for listener in listeners:
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+
+def serve(relay, safety=RetrySafety.IDEMPOTENT, known_version=1):
+    now = SystemClock().monotonic()
+    call = Call(b'GET', b'/a/', 'h', b'1', HEAD, b'', now, now + 2)
+    request = RelayRequest(
+        call, safety, ['s'], now + 2, relay.seen_version, known_version
+    )
+    return relay.serve(request, SocketWaiter(), Trail())
+
+
+NOT_TAKEN = answer(503, 1, b'Basilwall-Not-Taken: 1\r\n')
+
+
+def test_a_vm_that_does_not_take_a_request_is_followed_by_another():
+    with relay_to(NOT_TAKEN, answer(200, 1)) as (relay, seen):
+        result = serve(relay, RetrySafety.AT_MOST_ONCE)
+        assert result.answer.body == b'ok'
+        assert [len(requests) for requests in seen] == [1, 1]
+        names = [name.lower() for name, _ in result.answer.headers]
+        assert not [name for name in names if b'basilwall' in name]
+
+
+def test_a_request_that_may_have_run_once_is_not_relayed_again():
+    with relay_to(CLOSES, answer(200, 1)) as (relay, seen):
+        result = serve(relay, RetrySafety.AT_MOST_ONCE)
+        assert result.answer is None
+        assert result.may_have_run
+        assert sum(map(len, seen)) == 1
+
+
+@pytest.mark.parametrize('allowed', [True, False])
+def test_a_second_relay_after_a_loss_is_charged_to_the_budget(allowed):
+    budgets = Budgets(allowed)
+    with relay_to(CLOSES, answer(200, 1), budgets=budgets) as (relay, _):
+        assert bool(serve(relay).answer) is allowed
+        assert budgets.charged == ['s']
+
+
+def test_no_answer_by_older_routes_than_a_caller_has_seen():
+    with relay_to(answer(200, 7)) as (relay, seen):
+        serve(relay)
+        serve(relay)
+        assert relay.seen_version == 7
+        assert b'basilwall-table-version: 0' in seen[0][0].lower()
+        assert b'basilwall-table-version: 7' in seen[0][-1].lower()
+
+
+def test_a_route_that_an_older_table_lacks_is_asked_for_elsewhere():
+    with relay_to(answer(404, 6), answer(200, 7)) as (relay, _):
+        assert serve(relay, known_version=7).answer.status == 200
+
+
+def test_a_route_that_a_current_table_lacks_is_not_found():
+    with relay_to(answer(404, 7), answer(200, 7)) as (relay, _):
+        assert serve(relay, known_version=7).answer.status == 404
+
+
+def test_nothing_is_relayed_without_a_vm_that_reaches_searchers():
+    with relay_to() as (relay, _):
+        result = serve(relay)
+        assert result.answer is None
+        assert not result.may_have_run
