Keep a relayed request within the attempts of its route, and find a VM in time

Cause: a request in flight when the links are lost was moved to another VM, and one whose VM fell silent to a second one, both charged to the budget but not to the attempts of the route. Now a moved request says how many attempts it has left, none is moved without, and none is relayed again once a VM may have run it; it ends 502 with the time to come back.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -119,7 +119,6 @@
         RelayPeers(fleet.membership, settings.place, clock),
         relay_connections,
         RelayCodec(codec),
-        retry_policy,
         clock,
         rng,
     )
--- a/basilwall/fleet/gossip.py
+++ b/basilwall/fleet/gossip.py
@@ -16,8 +16,9 @@
 
 #: Time between two calls of this VM, whatever the size of the fleet.
 GOSSIP_INTERVAL_SECONDS = 1.0
-#: Interval of the first calls; shorter, so that a new VM is soon known.
-INITIAL_INTERVAL_SECONDS = 0.25
+#: Interval of the first calls, so that a new VM is soon known, and while this
+#: VM reaches no searcher, so that it soon knows who does.
+SHORT_INTERVAL_SECONDS = 0.25
 INITIAL_CALLS = 12
 MIN_JITTER_FACTOR = 0.7
 MAX_JITTER_FACTOR = 1.3
@@ -119,10 +120,10 @@
             )
 
     def _next_interval(self, calls: int) -> float:
+        own = self.messages.membership.own
+        is_urgent = calls < INITIAL_CALLS or not own.reaches_searchers
         interval = (
-            INITIAL_INTERVAL_SECONDS
-            if calls < INITIAL_CALLS
-            else GOSSIP_INTERVAL_SECONDS
+            SHORT_INTERVAL_SECONDS if is_urgent else GOSSIP_INTERVAL_SECONDS
         )
         return interval * self._rng.uniform(
             MIN_JITTER_FACTOR, MAX_JITTER_FACTOR
--- a/basilwall/forwarding/answers.py
+++ b/basilwall/forwarding/answers.py
@@ -38,13 +38,21 @@
             verdict: Why it is refused.
             base_seconds: When the caller may come back, before jitter.
         """
-        jitter = self._rng.uniform(
-            MIN_RETRY_AFTER_JITTER, MAX_RETRY_AFTER_JITTER
-        )
         return Answer(
             verdict,
             HTTP_UNAVAILABLE,
-            retry_after=base_seconds * jitter,
+            retry_after=self._with_jitter(base_seconds),
+        )
+
+    def given_up(self) -> Answer:
+        """Return the answer of a request that may have run, and has no answer.
+
+        It is given before the deadline, so it says when to come back.
+        """
+        return Answer(
+            Verdict.LOST,
+            HTTP_BAD_GATEWAY,
+            retry_after=self._with_jitter(RETRY_AFTER_OVERLOAD_SECONDS),
         )
 
     def unservable(
@@ -119,6 +127,11 @@
             )
         return self.unservable(Verdict.NOT_RUN, subrequests, needed)
 
+    def _with_jitter(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(
+            MIN_RETRY_AFTER_JITTER, MAX_RETRY_AFTER_JITTER
+        )
+
 
 def _may_complete(subrequests: Sequence[SubRequest], needed: int) -> bool:
     """Return whether attempts in flight could still make an answer."""
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -56,6 +56,9 @@
         self._may_hedge = route.retry_safety is RetrySafety.IDEMPOTENT
         self._subrequests_by_attempt: dict[Attempt, SubRequest] = {}
         self._first_choices: Sequence[SearcherStats | None] = ()
+        self._max_attempts = route.max_attempts
+        if call.max_attempts is not None:
+            self._max_attempts = min(route.max_attempts, call.max_attempts)
         self._deadline = min(
             call.expires_at,
             call.received_at + route.timeout,
@@ -158,7 +161,7 @@
     def _may_send(self, subrequest: SubRequest) -> bool:
         """Return whether there is time for an attempt, and one is allowed."""
         time_left = self._deadline - self._clock.monotonic()
-        is_exhausted = len(subrequest.sent_to) >= self._route.max_attempts
+        is_exhausted = len(subrequest.sent_to) >= self._max_attempts
         if time_left < MIN_ATTEMPT_SECONDS or is_exhausted:
             return False
         return len(subrequest.unreachable) < MAX_UNREACHABLE
@@ -171,7 +174,7 @@
         ]
         for subrequest in late:
             subrequest.hedge_at = self._deadline
-            if len(subrequest.sent_to) >= self._route.max_attempts:
+            if len(subrequest.sent_to) >= self._max_attempts:
                 continue
             self._hedge_subrequest(subrequest)
 
@@ -223,7 +226,7 @@
 
     def _retry(self, subrequest: SubRequest, *, is_budget_exempt: bool) -> None:
         budget = self._context.retry_policy.budget(subrequest.service)
-        has_attempts = len(subrequest.sent_to) < self._route.max_attempts
+        has_attempts = len(subrequest.sent_to) < self._max_attempts
         if is_budget_exempt or (has_attempts and budget.spend()):
             subrequest.has_ended = not self._send_next(subrequest)
         else:
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -2,12 +2,11 @@
 
 import random
 import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import replace
 
 from basilwall.forwarding.answers import (
-    HTTP_BAD_GATEWAY,
     HTTP_GATEWAY_TIMEOUT,
     HTTP_OK,
     RETRY_AFTER_NO_SEARCHER_SECONDS,
@@ -143,17 +142,23 @@
             )
         with _release_at_exit(execution):
             execution.run(_completion_policy(call, route))
-            reached = [
-                subrequest.service
+            reached = {
+                subrequest.service: subrequest.reached_count
                 for subrequest in execution.subrequests
-                if subrequest.is_reached
-            ]
+                if subrequest.reached_count
+            }
         answer = self._answer_of(route, execution.subrequests)
-        if answer.status == HTTP_OK or not self._may_move(route, reached):
+        if answer.status == HTTP_OK or not self._context.are_links_lost():
             return answer
-        return self._have_relayed(
-            call, route, caller, trail, may_have_run=bool(reached)
-        )
+        attempts_left = route.max_attempts - max(reached.values(), default=0)
+        if attempts_left > 0 and self._may_move(route, reached):
+            moved = replace(call, max_attempts=attempts_left)
+            return self._have_relayed(
+                moved, route, caller, trail, may_have_run=bool(reached)
+            )
+        if answer.verdict is Verdict.TIMEOUT:
+            return self._answers.given_up()
+        return answer
 
     def _answer_of(
         self, route: Route, subrequests: Sequence[SubRequest]
@@ -195,43 +200,40 @@
         if may_have_run and self._has_expired(call, route):
             return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
         if may_have_run:
-            return Answer(Verdict.LOST, HTTP_BAD_GATEWAY)
+            return self._answers.given_up()
         return self._answers.refusal(
             Verdict.NO_SEARCHER, RETRY_AFTER_NO_SEARCHER_SECONDS
         )
 
-    def _may_move(self, route: Route, reached: Sequence[ServiceName]) -> bool:
+    def _may_move(
+        self, route: Route, reached: Mapping[ServiceName, int]
+    ) -> bool:
         """Return whether a request that is not answered may be relayed.
 
         Args:
             route: The route of the request.
-            reached: The services at which it may have run; each is charged for
-                another attempt.
+            reached: At how many searchers of each service it may have run; each
+                service is charged for another attempt.
         """
-        if self._relay is None or not self._context.are_links_lost():
+        if self._relay is None:
             return False
         if not reached:
             return True
         is_repeatable = route.retry_safety is RetrySafety.IDEMPOTENT
-        return is_repeatable and self._context.retry_policy.spend_each(reached)
+        return is_repeatable and self._context.retry_policy.spend_each(
+            tuple(reached)
+        )
 
     def _relay_request(
         self, call: Call, route: Route | None, relay: Relay
     ) -> RelayRequest:
         table = self._context.routing_state.table
-        retry_safety, services = RetrySafety.AT_MOST_ONCE, []
-        if route is not None:
-            retry_safety = route.retry_safety
-            services = [
-                subrequest.service for subrequest in self._subrequests(route)
-            ]
         return RelayRequest(
             call,
-            retry_safety,
-            services,
             _deadline(call, route),
             min_version=relay.seen_version,
             known_version=table.version if table else 0,
+            max_attempts=call.max_attempts,
         )
 
     def _has_expired(self, call: Call, route: Route | None) -> bool:
--- a/basilwall/forwarding/subrequest.py
+++ b/basilwall/forwarding/subrequest.py
@@ -38,10 +38,12 @@
         return not self.has_ended
 
     @property
-    def is_reached(self) -> bool:
-        """True if the service may have run the request."""
-        in_flight = any(attempt.is_sent for attempt in self.numbers_by_attempt)
-        return in_flight or self.may_have_run or self.success is not None
+    def reached_count(self) -> int:
+        """How many searchers the request was sent to."""
+        unsent = sum(
+            1 for attempt in self.numbers_by_attempt if not attempt.is_sent
+        )
+        return len(self.sent_to) - unsent
 
     def record_failure(self, outcome: AttemptResult) -> None:
         """Keep a failure, preferring a complete reply, which says most."""
--- a/basilwall/parts/membership.py
+++ b/basilwall/parts/membership.py
@@ -118,9 +118,15 @@
             self._evict_expired()
             return [record.member for record in self._by_address.values()]
 
-    def live_members(self) -> list[Member]:
-        """Return the members that sent a message recently."""
-        oldest_live_at = self._clock.monotonic() - LIVENESS_TIMEOUT_SECONDS
+    def live_members(
+        self, max_age_seconds: float = LIVENESS_TIMEOUT_SECONDS
+    ) -> list[Member]:
+        """Return the members that sent a message recently.
+
+        Args:
+            max_age_seconds: How long ago the message may be.
+        """
+        oldest_live_at = self._clock.monotonic() - max_age_seconds
         with self._lock:
             return [
                 record.member
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -20,7 +20,8 @@
     between attempts and the final empty line. `received_at` and `expires_at`
     are in monotonic seconds; the caller does not wait longer than the latter.
     `is_relayed` is True if another VM relayed the request; only a route table
-    of `min_table_version` or newer may then serve it.
+    of `min_table_version` or newer may then serve it. `max_attempts` limits the
+    searchers of each service that get it, None if only the route does.
     """
 
     method: bytes
@@ -33,6 +34,7 @@
     expires_at: float
     is_relayed: bool = False
     min_table_version: int = 0
+    max_attempts: int | None = None
 
     @property
     def path(self) -> bytes:
--- a/basilwall/relaying/codec.py
+++ b/basilwall/relaying/codec.py
@@ -25,7 +25,9 @@
 TABLE_VERSION = b'basilwall-table-version'
 # Present in an answer if the VM did not take the request.
 NOT_TAKEN = b'basilwall-not-taken'
-_OWN_HEADERS = frozenset((TABLE_VERSION, NOT_TAKEN))
+# Of a request: how many searchers of each service may get it.
+MAX_ATTEMPTS = b'basilwall-max-attempts'
+_OWN_HEADERS = frozenset((TABLE_VERSION, NOT_TAKEN, MAX_ATTEMPTS))
 
 
 class RelayCodec(AttemptCodec):
@@ -39,9 +41,11 @@
         self, call: Call, searcher: SearcherId, time_left: float
     ) -> bytes:
         """Encode a relayed request; `time_left` is in seconds."""
-        version = b'%b: %d\r\n' % (TABLE_VERSION, call.min_table_version)
-        versioned = replace(call, head=b''.join((call.head, version)))
-        return self._codec.encode_attempt(versioned, searcher, time_left)
+        lines = [b'%b: %d\r\n' % (TABLE_VERSION, call.min_table_version)]
+        if call.max_attempts is not None:
+            lines.append(b'%b: %d\r\n' % (MAX_ATTEMPTS, call.max_attempts))
+        extended = replace(call, head=b''.join((call.head, *lines)))
+        return self._codec.encode_attempt(extended, searcher, time_left)
 
     def is_reply_to(self, call: Call, head: ReplyHead) -> bool:
         """Return whether an answer may belong to this request."""
@@ -63,7 +67,7 @@
 
     def table_version(self, reply: Reply) -> int:
         """Return the version by which a request was served, 0 if not given."""
-        return _version(_own_header(reply.headers, TABLE_VERSION))
+        return _number(_own_header(reply.headers, TABLE_VERSION))
 
     def caller_headers(self, reply: Reply) -> RawHeaders:
         """Return the headers that are meant for the caller."""
@@ -82,7 +86,7 @@
     ) -> Call:
         """Decode a request; `received_at` is in monotonic seconds."""
         raw = tuple(request.headers.raw_items())
-        version = _version(_own_header(raw, TABLE_VERSION))
+        max_attempts = _number(_own_header(raw, MAX_ATTEMPTS)) or None
         stripped = h11.Request(
             method=request.method,
             target=request.target,
@@ -90,7 +94,12 @@
             http_version=request.http_version,
         )
         call = self._codec.decode_request(stripped, body, received_at)
-        return replace(call, min_table_version=version, is_relayed=True)
+        return replace(
+            call,
+            is_relayed=True,
+            min_table_version=_number(_own_header(raw, TABLE_VERSION)),
+            max_attempts=max_attempts,
+        )
 
     def encode_headers(
         self, call: Call | None, answer: Answer
@@ -117,5 +126,5 @@
     )
 
 
-def _version(text: bytes) -> int:
+def _number(text: bytes) -> int:
     return int(text) if text.isdigit() else 0
--- a/basilwall/relaying/peers.py
+++ b/basilwall/relaying/peers.py
@@ -1,9 +1,15 @@
 """Chooses the VMs that requests are relayed to."""
 
 import random
+from collections.abc import Collection
+from functools import partial
 
 from basilwall.parts.clock import Clock
-from basilwall.parts.membership import Member, Membership
+from basilwall.parts.membership import (
+    MEMBER_TTL_SECONDS,
+    Member,
+    Membership,
+)
 from basilwall.records.ids import VmAddress
 from basilwall.routing.location import Distance, VmLocation
 
@@ -28,24 +34,30 @@
         self._avoid_until_by_address: dict[VmAddress, float] = {}
 
     def candidates(self, rng: random.Random) -> list[Member]:
-        """Return the VMs to ask, the nearest first, equal ones in any order."""
+        """Return the VMs to ask, the nearest first, equal ones in any order.
+
+        VMs that are leaving, that have not been heard of lately or that did not
+        serve the last request are asked only after all others.
+        """
         members = [
             member
-            for member in self._membership.live_members()
-            if member.relay_address
-            and member.reaches_searchers
-            and not member.leaving
+            for member in self._membership.live_members(MEMBER_TTL_SECONDS)
+            if member.relay_address and member.reaches_searchers
         ]
+        live = {member.address for member in self._membership.live_members()}
         rng.shuffle(members)
-        return sorted(members, key=self._rank)
+        return sorted(members, key=partial(self._rank, live))
 
     def avoid(self, peer: Member) -> None:
         """Ask a VM last for a short time."""
         until = self._clock.monotonic() + AVOID_SECONDS
         self._avoid_until_by_address[peer.address] = until
 
-    def _rank(self, member: Member) -> tuple[bool, int]:
+    def _rank(
+        self, live: Collection[VmAddress], member: Member
+    ) -> tuple[bool, int]:
         avoid_until = self._avoid_until_by_address.get(member.address, 0)
         distance = self._location.distance_to(member.zone)
         is_avoided = self._clock.monotonic() < avoid_until
-        return is_avoided, _RANK_BY_DISTANCE[distance]
+        is_doubtful = is_avoided or member.leaving or member.address not in live
+        return is_doubtful, _RANK_BY_DISTANCE[distance]
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -7,13 +7,12 @@
 """
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.reporting import Step, Trail
-from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_attempt import SocketAttempt
 from basilwall.forwarding.transport import AttemptWaiter
 from basilwall.parts.clock import Clock
@@ -28,7 +27,6 @@
     Verdict,
 )
 from basilwall.records.ids import SearcherId, ServiceName
-from basilwall.records.routes import RetrySafety
 from basilwall.relaying.codec import RelayCodec
 from basilwall.relaying.connections import RelayConnections
 from basilwall.relaying.peers import RelayPeers
@@ -37,8 +35,9 @@
 MAX_VMS = 4
 #: A VM that has not accepted a connection by then is passed over.
 CONNECT_SECONDS = 0.4
-#: An idempotent request is sent to another VM if one is silent for this long.
+#: A VM that is silent for this long is asked last by further requests.
 SILENCE_SECONDS = 1.0
+CHECK_SECONDS = 0.1
 #: Time reserved for the answer to travel back.
 RETURN_MARGIN_SECONDS = 0.05
 HTTP_NOT_FOUND = 404
@@ -52,15 +51,15 @@
     `deadline` is when this VM must have an answer, in monotonic seconds.
     `min_version` is the oldest route table that may serve it, `known_version`
     that of this VM: if an older one has no route, another VM is asked.
-    `services` are charged if it is sent a second time after it may have run.
+    `max_attempts` is how many searchers of each service may still get it, None
+    for as many as its route allows.
     """
 
     call: Call
-    retry_safety: RetrySafety
-    services: Sequence[ServiceName]
     deadline: float
     min_version: int
     known_version: int
+    max_attempts: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +81,6 @@
         peers: RelayPeers,
         connections: RelayConnections,
         codec: RelayCodec,
-        retry_policy: RetryPolicy,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -91,7 +89,6 @@
         self._peers = peers
         self._connections = connections
         self._codec = codec
-        self._retry_policy = retry_policy
         self._clock = clock
         self._rng = rng
 
@@ -118,9 +115,9 @@
         Raises:
             CallerLeftError: If the caller closed its connection.
         """
-        may_have_run = False
+        latest = request.deadline - RETURN_MARGIN_SECONDS
         for peer in self._peers.candidates(self._rng)[:MAX_VMS]:
-            if not self._may_ask(request, may_have_run=may_have_run):
+            if self._clock.monotonic() >= latest:
                 break
             outcome = self._ask(request, peer, waiter)
             answer = self._answer(outcome, request.known_version)
@@ -135,20 +132,11 @@
             )
             if answer is not None:
                 return RelayResult(answer)
-            may_have_run |= isinstance(outcome, Lost)
             self._peers.avoid(peer)
-        return RelayResult(None, may_have_run)
-
-    def _may_ask(self, request: RelayRequest, *, may_have_run: bool) -> bool:
-        """Return whether there is time to ask a VM, and it may be asked."""
-        latest = request.deadline - RETURN_MARGIN_SECONDS
-        if self._clock.monotonic() >= latest:
-            return False
-        if not may_have_run:
-            return True
-        if request.retry_safety is not RetrySafety.IDEMPOTENT:
-            return False
-        return self._retry_policy.spend_each(request.services)
+            # It may have reached as many searchers as its route allows.
+            if isinstance(outcome, Lost):
+                return RelayResult(None, may_have_run=True)
+        return RelayResult(None)
 
     def _ask(
         self,
@@ -156,7 +144,11 @@
         peer: Member,
         waiter: AttemptWaiter[SocketAttempt],
     ) -> AttemptResult:
-        call = replace(request.call, min_table_version=request.min_version)
+        call = replace(
+            request.call,
+            min_table_version=request.min_version,
+            max_attempts=request.max_attempts,
+        )
         connection = self._connections.checkout(peer)
         attempt = SocketAttempt(
             call,
@@ -168,23 +160,29 @@
             self._connections.memory,
         )
         with self._releasing(attempt, connection, waiter):
-            return self._wait(request, attempt, waiter)
+            return self._wait(request, peer, attempt, waiter)
 
     def _wait(
         self,
         request: RelayRequest,
+        peer: Member,
         attempt: SocketAttempt,
         waiter: AttemptWaiter[SocketAttempt],
     ) -> AttemptResult:
         started_at = self._clock.monotonic()
         outcome = waiter.add(attempt)
         while outcome is None:
-            limit = _time_limit(request, attempt)
-            ends_at = min(started_at + limit, request.deadline)
-            seconds_left = ends_at - self._clock.monotonic()
-            if seconds_left <= 0:
+            now = self._clock.monotonic()
+            silent_seconds = now - started_at
+            is_unreached = (
+                silent_seconds >= CONNECT_SECONDS and not attempt.is_sent
+            )
+            if is_unreached or now >= request.deadline:
                 return attempt.cancel(LossReason.TIMEOUT)
-            for _, ended in waiter.wait(seconds_left):
+            if silent_seconds >= SILENCE_SECONDS:
+                self._peers.avoid(peer)
+            seconds = min(CHECK_SECONDS, request.deadline - now)
+            for _, ended in waiter.wait(seconds):
                 outcome = ended
         return outcome
 
@@ -227,15 +225,6 @@
         )
 
 
-def _time_limit(request: RelayRequest, attempt: SocketAttempt) -> float:
-    """Return how long to wait for a VM at most, in seconds."""
-    if not attempt.is_sent:
-        return CONNECT_SECONDS
-    if request.retry_safety is RetrySafety.IDEMPOTENT:
-        return SILENCE_SECONDS
-    return request.deadline
-
-
 def _describe(outcome: AttemptResult) -> str:
     if isinstance(outcome, Reply):
         return 'not taken'
--- a/basilwall/relaying/relay_test.py
+++ b/basilwall/relaying/relay_test.py
@@ -5,8 +5,6 @@
 import threading
 from contextlib import contextmanager
 
-import pytest
-
 from basilwall.forwarding.reporting import Trail
 from basilwall.forwarding.socket_waiter import SocketWaiter
 from basilwall.parts.byte_budget import ByteBudget
@@ -14,7 +12,6 @@
 from basilwall.parts.membership import Member, Membership
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.forwarding import Call
-from basilwall.records.routes import RetrySafety
 from basilwall.relaying.codec import RelayCodec
 from basilwall.relaying.connections import RelayConnections
 from basilwall.relaying.peers import RelayPeers
@@ -26,18 +23,6 @@
 CLOSES = b''
 
 
-class Budgets:
-    """The retry budgets; counts what is charged."""
-
-    def __init__(self, allowed=True):
-        self.allowed = allowed
-        self.charged = []
-
-    def spend_each(self, services):
-        self.charged += services
-        return self.allowed
-
-
 def answer(status, version, more=b''):
     return (
         b'HTTP/1.1 %d X\r\nRequest-Id: 1\r\nBasilwall-Table-Version: %d\r\n'
@@ -47,7 +32,7 @@
 
 
 def serve_vm(listener, response, seen):
-    while True:
+    while listener.fileno() >= 0:
         try:
             accepted, _ = listener.accept()
         except OSError:
@@ -58,7 +43,7 @@
 
 
 @contextmanager
-def relay_to(*responses, budgets=None):
+def relay_to(*responses):
     """Run VMs that give these responses, the first one the nearest.
 
     Yields:
@@ -85,7 +70,6 @@
         RelayPeers(membership, location, clock),
         RelayConnections(clock, ByteBudget(1_000_000)),
         RelayCodec(HeaderCodec()),
-        budgets or Budgets(),
         clock,
         random.Random(1),
     )
@@ -97,11 +81,11 @@
             listener.close()
 
 
-def serve(relay, safety=RetrySafety.IDEMPOTENT, known_version=1):
+def serve(relay, known_version=1, max_attempts=None):
     now = SystemClock().monotonic()
     call = Call(b'GET', b'/a/', 'h', b'1', HEAD, b'', now, now + 2)
     request = RelayRequest(
-        call, safety, ['s'], now + 2, relay.seen_version, known_version
+        call, now + 2, relay.seen_version, known_version, max_attempts
     )
     return relay.serve(request, SocketWaiter(), Trail())
 
@@ -111,27 +95,25 @@
 
 def test_a_vm_that_does_not_take_a_request_is_followed_by_another():
     with relay_to(NOT_TAKEN, answer(200, 1)) as (relay, seen):
-        result = serve(relay, RetrySafety.AT_MOST_ONCE)
+        result = serve(relay)
         assert result.answer.body == b'ok'
         assert [len(requests) for requests in seen] == [1, 1]
-        names = [name.lower() for name, _ in result.answer.headers]
-        assert not [name for name in names if b'basilwall' in name]
+        names = b' '.join(name.lower() for name, _ in result.answer.headers)
+        assert b'basilwall' not in names
 
 
-def test_a_request_that_may_have_run_once_is_not_relayed_again():
+def test_a_request_that_may_have_run_is_not_relayed_again():
     with relay_to(CLOSES, answer(200, 1)) as (relay, seen):
-        result = serve(relay, RetrySafety.AT_MOST_ONCE)
+        result = serve(relay)
         assert result.answer is None
         assert result.may_have_run
         assert sum(map(len, seen)) == 1
 
 
-@pytest.mark.parametrize('allowed', [True, False])
-def test_a_second_relay_after_a_loss_is_charged_to_the_budget(allowed):
-    budgets = Budgets(allowed)
-    with relay_to(CLOSES, answer(200, 1), budgets=budgets) as (relay, _):
-        assert bool(serve(relay).answer) is allowed
-        assert budgets.charged == ['s']
+def test_a_relayed_request_names_the_attempts_that_are_left():
+    with relay_to(answer(200, 1)) as (relay, seen):
+        serve(relay, max_attempts=1)
+        assert b'basilwall-max-attempts: 1' in seen[0][0].lower()
 
 
 def test_no_answer_by_older_routes_than_a_caller_has_seen():
--- a/tests/links_lost_test.py
+++ b/tests/links_lost_test.py
@@ -11,13 +11,17 @@
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.standin.platform_searcher import Behaviour
 from tests.entry_stage import (
+    ROUTES,
     ask,
     dial,
     other_vm,
+    read_to_end,
     request,
+    route,
     split,
     staged,
     status_of,
+    table,
     wait_until,
 )
 
@@ -175,3 +179,21 @@
     assert time.monotonic() - started_at < 0.5
     assert status_of(answer) == 503
     assert b'retry-after' in split(answer)[0]
+
+
+def test_a_request_in_flight_is_not_moved_beyond_its_attempts(pair):
+    stage, links = pair
+    once = route('/few/', service='single', max_attempts=1)
+    stage.store.put('op/config', table(2, (*ROUTES, once)))
+    wait_until(lambda: status_of(ask(stage.caller, request('/few/a'))) == 200)
+    for zone in ('near', 'far'):
+        stage.searcher_by_id[f'single.{zone}'].work_seconds = 1.4
+    with dial(stage.caller) as connection:
+        connection.sendall(request('/few/a', 'few-1'))
+        time.sleep(0.1)
+        links.state = Link.SILENT
+        answer = read_to_end(connection)
+    assert status_of(answer) == 502
+    assert b'retry-after' in split(answer)[0]
+    ids = [one.header(b'request-id') for one in stage.seen('single')]
+    assert ids.count(b'few-1') == 1
