Open new connections to VMs that leave, and end a probe once all have refused

Now a VM that stops tells its peers at once, and no kept connection to it is used.

A probe now ends when every connection is refused; what it returns is the same.

--- a/basilwall/backend/probe.py
+++ b/basilwall/backend/probe.py
@@ -50,7 +50,7 @@
         poller.register(sock, select.POLLIN | select.POLLOUT)
     connecting = set(socket_by_address)
     dead: set[SearcherAddress] = set()
-    while time.monotonic() < ends_at:
+    while time.monotonic() < ends_at and len(dead) < len(socket_by_address):
         left_ms = max(ends_at - time.monotonic(), 0) * MS_PER_SECOND
         for descriptor, events in poller.poll(left_ms):
             connecting.discard(address_by_descriptor[descriptor])
--- a/basilwall/ingress/vm.py
+++ b/basilwall/ingress/vm.py
@@ -53,6 +53,7 @@
         state = self.ingress.stop_state
         state.is_stopping = True
         self.fleet.membership.announce_leaving()
+        self.fleet.gossip.push_to_peers()
         _log.info('stopping', extra={'connections': self._open_connections()})
         self._wait_until(started_at + min(BALANCER_LAG_SECONDS, limit / 2))
         state.is_closing_idle = True
--- a/basilwall/relaying/connections.py
+++ b/basilwall/relaying/connections.py
@@ -27,8 +27,13 @@
         self._lock = threading.Lock()
 
     def checkout(self, peer: Member) -> SearcherConnection:
-        """Return an idle connection to a VM, or open a new one."""
+        """Return an idle connection to a VM, or open a new one.
+
+        A VM that leaves closes its idle connections, so none of them is used.
+        """
         target = _as_searcher(peer)
+        if peer.leaving:
+            self._close_all(target.address)
         while True:
             with self._lock:
                 idle = self._idle_by_address[target.address]
@@ -70,6 +75,12 @@
         for connection in expired:
             connection.close()
 
+    def _close_all(self, address: SearcherAddress) -> None:
+        with self._lock:
+            closing = self._idle_by_address.pop(address, [])
+        for connection in closing:
+            connection.close()
+
 
 def _as_searcher(peer: Member) -> Searcher:
     """Return a VM in the form in which connections name their target."""
