Let searchers of the soak name limits and send bytes without end

The soak draws a searcher that names a limit of 0 to 40 requests a second for 1 to 9 s and counts what it gets as the users do, and two more kinds of spoiled answers. VMs get the port for relayed requests, without which they no longer start. Links of one VM to all searchers can't be cut here: its connections come from the same address as those of all others; tests/links_lost_test.py does that.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,8 @@
     ROUTES[0]['timeout_ms'] / 1000 + 0.5 + SCHEDULING_SLACK_SECONDS
 )
 PROBE_INTERVAL_SECONDS = 0.25
+#: Requests under a limit are counted over this time.
+LIMIT_WINDOW_SECONDS = 4
 HTTP_NOT_FOUND = 404
 
 
@@ -130,6 +132,7 @@
     violations = list(_find_repeated_runs(requests, ran))
     violations += _find_false_refusals(requests, ran)
     violations += _find_late_work(deployment)
+    violations += _find_exceeded_limits(deployment)
     violations += _find_slow_responses(deployment, requests)
     if planned_only:
         violations += _find_cut_connections(deployment, requests)
@@ -183,6 +186,29 @@
                 )
 
 
+def _find_exceeded_limits(deployment):
+    """Yield searchers that got more than one and a half times their limit."""
+    vm_targets = {f'vm-{vm.number}' for vm in deployment.vms}
+    for span in deployment.limit_spans:
+        since = span.began_at + STABILIZATION_SECONDS
+        until = min(span.ended_at, since + LIMIT_WINDOW_SECONDS)
+        arrived = [
+            request
+            for request in tuple(span.searcher.seen)
+            if since <= request.at < until
+        ]
+        allowed = 1.5 * span.requests_per_second * LIMIT_WINDOW_SECONDS + 5
+        is_disturbed = deployment.disturbances.is_disturbed(
+            vm_targets, span.began_at, until
+        )
+        if len(arrived) > allowed and not is_disturbed:
+            yield (
+                f'{span.searcher.searcher_id} takes '
+                f'{span.requests_per_second} a second and got '
+                f'{len(arrived)} in {LIMIT_WINDOW_SECONDS} s'
+            )
+
+
 def _find_slow_responses(deployment, requests):
     for request in requests:
         is_vm_disturbed = deployment.disturbances.is_disturbed(
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -28,6 +28,7 @@
 HOST = '127.0.0.1'
 SERVICES = ('single', *SHARDS)
 CALLER_PORT, READINESS_PORT, CONTROL_PORT = 8080, 8081, 8082
+RELAY_PORT = 8083
 #: How long to wait for a process to end after SIGKILL.
 KILL_TIMEOUT_SECONDS = 15
 
@@ -56,6 +57,16 @@
         )
 
 
+@dataclass
+class LimitSpan:
+    """A limit that a searcher named, and when, in monotonic seconds."""
+
+    searcher: object
+    requests_per_second: float
+    began_at: float
+    ended_at: float = float('inf')
+
+
 @dataclass
 class EntryProcess:
     """One VM: its address on loopback and its process.
@@ -110,6 +121,7 @@
         self.folder = folder
         self.searchers = []
         self.drained_at = {}
+        self.limit_spans = []
         self.table_version = 0
         self.published_at = {}
         self.lock = threading.Lock()
@@ -223,6 +235,7 @@
                 'ready': f'{ip}:{READINESS_PORT}',
                 'control': f'{ip}:{CONTROL_PORT}',
             },
+            'internal_ports': [RELAY_PORT, RELAY_PORT],
             'seed_nodes': [f'{seed_ip}:{CONTROL_PORT}' for seed_ip in ips[:3]],
             'limits': {'memory_mb': 300, 'max_fds': 4100},
             'bounds': BOUNDS,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from basilwall.standin.platform_searcher import Behaviour
+from soak.deployment import LimitSpan
 from soak.proxy import ProxyMode
 
 FAULTY_PROXY_MODES = (
@@ -30,7 +31,11 @@
     Behaviour.UNFRAMED,
     Behaviour.SILENT,
     Behaviour.UNAVAILABLE,
+    Behaviour.ENDLESS_HEAD,
+    Behaviour.ENDLESS_BODY,
 )
+#: Limits that searchers name, in requests per second.
+RATE_LIMITS = (0, 0.5, 5, 40)
 #: The time that the platform gives a process to stop gracefully.
 STOP_GRACE_SECONDS = 6
 MAX_RESERVED_VMS = 2
@@ -69,6 +74,7 @@
             self._disrupt_searcher_connections,
             self._change_searcher_behaviour,
             self._change_searcher_behaviour,
+            self._limit_searcher,
             self._compact_store_history,
             self._restore_store,
         ]
@@ -196,6 +202,21 @@
         searcher.behaviour = Behaviour.ANSWER
         end_disturbance()
 
+    def _limit_searcher(self):
+        searcher = self._rng.choice(self._deployment.searchers)
+        limit = self._rng.choice(RATE_LIMITS)
+        if searcher.announced.rate_limit is not None:
+            return
+        self._record_event(f'{searcher.searcher_id} takes {limit} a second')
+        span = LimitSpan(searcher, limit, time.monotonic())
+        self._deployment.limit_spans.append(span)
+        end_disturbance = self._deployment.disturbances.begin('searchers')
+        searcher.announced.rate_limit = limit
+        time.sleep(self._rng.uniform(1, 9))
+        span.ended_at = time.monotonic()
+        searcher.announced.rate_limit = None
+        end_disturbance()
+
     def _compact_store_history(self):
         self._record_event('store compacts its history')
         self._deployment.store.compact()
