--- a/basilwall/parts/limited_read_test.py
+++ b/basilwall/configuration/limited_read_test.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from basilwall.parts.limited_read import ResponseTooLargeError, read_body
+from basilwall.configuration.limited_read import (
+    ResponseTooLargeError,
+    read_body,
+)
 
 
 def test_a_body_without_end_is_given_up():
--- a/basilwall/fleet/http_calls.py
+++ b/basilwall/fleet/http_calls.py
@@ -4,8 +4,8 @@
 import time
 from typing import Any
 
+from basilwall.configuration.limited_read import read_body
 from basilwall.parts.deadline_socket import DeadlineSocket
-from basilwall.parts.limited_read import read_body
 from basilwall.records.ids import VmAddress
 
 HTTP_OK = 200
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -27,7 +27,7 @@
     PlatformReader,
     WatchReply,
 )
-from basilwall.parts.limited_read import read_body
+from basilwall.configuration.limited_read import read_body
 from basilwall.records.catalogue import PublishedValue
 
 #: Added to the duration of a watch to get the timeout of its call.
