Never call a moved request "not run" that may have run here

What callers could see: 503 with a time, which promises that the request has not run, for an idempotent request that a searcher had got from the VM before it lost its links. Found by reading the change. Cause: the answer of the VM that serves a moved request was passed on as it was, and that VM knows only of its own attempts. Requests that may run once were never moved, so none of them could be refused falsely. Now such a refusal is answered 502 with the time to come back. The test failed before with 503.

--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 from basilwall.forwarding.answers import (
     HTTP_GATEWAY_TIMEOUT,
     HTTP_OK,
+    NOT_RUN_STATUSES,
     RETRY_AFTER_NO_SEARCHER_SECONDS,
     AnswerBuilder,
 )
@@ -194,8 +195,11 @@
                 self._context.transport.make_waiter(caller),
                 trail,
             )
-            if relayed.answer is not None:
-                return relayed.answer
+            answer = relayed.answer
+            # The other VM knows only of its own attempts.
+            says_not_run = answer and answer.status in NOT_RUN_STATUSES
+            if answer and not (may_have_run and says_not_run):
+                return answer
             may_have_run |= relayed.may_have_run
         if may_have_run and self._has_expired(call, route):
             return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
--- a/tests/links_lost_test.py
+++ b/tests/links_lost_test.py
@@ -97,6 +97,11 @@
         stage_context.__exit__(None, None, None)
 
 
+def ids_seen(stage):
+    """Return the ids of the requests that ran at the single service."""
+    return [one.header(b'request-id') for one in stage.seen('single')]
+
+
 def lose_links(stage, links, state, path='/all/x'):
     """Cut the links; return once the VM should have noticed."""
     links.state = state
@@ -132,7 +137,7 @@
     for number in range(20):
         raw = request('/once/a', f'once-{number}', 'POST', b'content')
         assert status_of(ask(stage.caller, raw)) == 200
-    ids = [one.header(b'request-id') for one in stage.seen('single')]
+    ids = ids_seen(stage)
     for number in range(20):
         assert ids.count(b'once-%d' % number) == 1
 
@@ -195,5 +200,27 @@
         answer = read_to_end(connection)
     assert status_of(answer) == 502
     assert b'retry-after' in split(answer)[0]
-    ids = [one.header(b'request-id') for one in stage.seen('single')]
+    ids = ids_seen(stage)
     assert ids.count(b'few-1') == 1
+
+
+def test_a_moved_request_that_may_have_run_is_not_called_not_run(pair):
+    stage, links = pair
+    # Its attempts are not hedged before the links are lost.
+    slow = route('/slow/', service='single', target_latency_ms=1900)
+    stage.store.put('op/config', table(2, (*ROUTES, slow)))
+    wait_until(lambda: status_of(ask(stage.caller, request('/slow/a'))) == 200)
+    searchers = [
+        stage.searcher_by_id[f'single.{zone}'] for zone in ('near', 'far')
+    ]
+    for searcher in searchers:
+        searcher.work_seconds = 1.4
+    with dial(stage.caller) as connection:
+        connection.sendall(request('/slow/a', 'moved-1'))
+        wait_until(lambda: b'moved-1' in ids_seen(stage))
+        for searcher in searchers:
+            searcher.behaviour, searcher.work_seconds = Behaviour.SHED, 0
+        links.state = Link.SILENT
+        answer = read_to_end(connection)
+    assert status_of(answer) == 502
+    assert b'retry-after' in split(answer)[0]
