End a request whose retry is lost at once

What callers could see: a request without any attempt in flight that waited until its deadline and ended 504. Cause: since limits are kept, a retry that was sent set its part of the request to not ended, also when the attempt had ended at once and the part with it, as on a kept connection that was reset. The test failed before: the part had not ended, and the request waited.

--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -227,9 +227,9 @@
     def _retry(self, subrequest: SubRequest, *, is_budget_exempt: bool) -> None:
         budget = self._context.retry_policy.budget(subrequest.service)
         has_attempts = len(subrequest.sent_to) < self._max_attempts
-        if is_budget_exempt or (has_attempts and budget.spend()):
-            subrequest.has_ended = not self._send_next(subrequest)
-        else:
+        may_retry = is_budget_exempt or (has_attempts and budget.spend())
+        # The attempt may end at once, and the subrequest with it.
+        if not (may_retry and self._send_next(subrequest)):
             subrequest.has_ended = True
 
     def _succeed(self, subrequest: SubRequest, reply: Reply) -> None:
--- /dev/null
+++ b/basilwall/forwarding/execution_test.py
@@ -0,0 +1,124 @@
+"""Tests of the attempts of one request."""
+
+from basilwall.forwarding.completion import SingleCompletion
+from basilwall.forwarding.context import ForwardingContext
+from basilwall.forwarding.execution import RequestExecution
+from basilwall.forwarding.reporting import Trail
+from basilwall.forwarding.retry_policy import RetryPolicy
+from basilwall.forwarding.subrequest import SubRequest
+from basilwall.forwarding.transport import Attempt, AttemptWaiter, Transport
+from basilwall.parts.clock import ManualClock
+from basilwall.records.forwarding import Call, LossReason, Lost
+from basilwall.records.routes import RetrySafety, Route
+from basilwall.records.searcher import Searcher
+from basilwall.routing.bounds import Bounds
+from basilwall.routing.searcher_stats import SearcherStats
+
+ROUTE = Route('r', 'h', b'/a/', RetrySafety.IDEMPOTENT, 2, 2, 1, 0, None)
+BOUNDS = Bounds(0.2, 50, 10, 6, 4, 4)
+
+
+class SelectorStub:
+    """Offers two searchers."""
+
+    def __init__(self, clock):
+        self.stats = [
+            SearcherStats(
+                Searcher(name, 's', f'{name}:1', 'z', 2, False, 0, 1), clock, 0
+            )
+            for name in ('s-1', 's-2')
+        ]
+
+    def pick_each(self, services, _):
+        return [self.pick_and_count(service, ()) for service in services]
+
+    def pick_and_count(self, _, tried):
+        untried = (
+            stats
+            for stats in self.stats
+            if stats.searcher.searcher_id not in tried
+        )
+        return next(untried, None)
+
+    def stats_of(self, searcher):
+        return next(one for one in self.stats if one.searcher == searcher)
+
+
+class LostAttempt(Attempt):
+    """An attempt on a connection that is reset at the first byte."""
+
+    is_connected = True
+    is_sent = True
+    sent_at = 0
+
+    def __init__(self, searcher):
+        self.searcher = searcher
+
+    def cancel(self, reason):
+        return Lost(self.searcher.searcher_id, reason)
+
+
+class ImmediateWaiter(AttemptWaiter):
+    """Ends each attempt when it is added; counts the waits."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.waits = 0
+
+    def add(self, attempt):
+        return attempt.cancel(LossReason.CUT)
+
+    def remove(self, attempt):
+        """Do nothing: no attempt is waited for."""
+
+    def wait(self, seconds):
+        self.waits += 1
+        self.clock.advance(max(seconds, 0.1))
+        return ()
+
+
+class TransportStub(Transport):
+    """Makes attempts that are lost at once."""
+
+    def make_waiter(self, caller):
+        raise NotImplementedError
+
+    def prepare_attempt(self, call, searcher, deadline):
+        return LostAttempt(searcher)
+
+    def release_connection(self, attempt):
+        """Do nothing: there is no connection."""
+
+    def supersede(self, attempt, attempt_number):
+        raise NotImplementedError
+
+
+class DetectorStub:
+    """Ignores outcomes."""
+
+    def note_outcome(self, *_):
+        """Do nothing."""
+
+
+def test_a_request_whose_attempts_are_lost_at_once_does_not_wait():
+    clock = ManualClock()
+    now = clock.monotonic()
+    call = Call(b'GET', b'/a/', 'h', b'1', b'', b'', now, now + 2)
+    waiter = ImmediateWaiter(clock)
+    context = ForwardingContext(
+        None,
+        SelectorStub(clock),
+        TransportStub(),
+        RetryPolicy(lambda: BOUNDS, lambda: 8, clock),
+        DetectorStub(),
+        clock,
+    )
+    subrequest = SubRequest('s', 0)
+    execution = RequestExecution(
+        call, ROUTE, [subrequest], context, waiter, Trail()
+    )
+    assert execution.admit(1)
+    execution.run(SingleCompletion(call, ROUTE))
+    assert len(subrequest.sent_to) == 2
+    assert subrequest.has_ended
+    assert not waiter.waits
