Log which content lost a searcher, and why a loss was not looked into

Now both have the request's id, the fingerprint and the searcher's address, the second its reason; two gauges count contents with strikes and quarantined ones. No change of logic.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -40,7 +40,7 @@
 from basilwall.operators.prometheus_metrics import PrometheusMetrics
 from basilwall.parts.clock import BootClock, Clock
 from basilwall.parts.membership import Member, Membership
-from basilwall.parts.quarantine import Quarantine
+from basilwall.parts.quarantine import Quarantine, count_quarantined
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.parts.tasks import TaskGroup, task_group
 from basilwall.platform.codec import StoreValueReader
@@ -293,6 +293,16 @@
         '1 while this VM reaches no searcher, else 0.',
         lambda: links.are_lost,
     )
+    add(
+        'suspected_contents',
+        'Request contents under which a searcher died lately.',
+        lambda: len(fleet.quarantine.entries()),
+    )
+    add(
+        'quarantined_contents',
+        'Request contents that are refused, as they crash searchers.',
+        partial(count_quarantined, fleet.quarantine),
+    )
     add(
         'reply_memory_bytes',
         'Memory of large replies that are being read.',
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -94,20 +94,22 @@
         self, call: Call, searcher: Searcher, outcome: AttemptResult
     ) -> None:
         """Record the outcome of an attempt that was not abandoned."""
-        is_cut = isinstance(outcome, Lost) and outcome.reason is LossReason.CUT
-        if not is_cut or not self._classification_slots.acquire(blocking=False):
+        if not isinstance(outcome, Lost):
+            return
+        if outcome.reason is not LossReason.CUT:
+            _log_unclassified(call, searcher, outcome.reason.value)
+            return
+        if not self._classification_slots.acquire(blocking=False):
+            _log_unclassified(call, searcher, 'too many at a time')
             return
         try:
-            self._tasks.start(
-                partial(self._classify_loss, fingerprint_of(call), searcher)
-            )
+            self._tasks.start(partial(self._classify_loss, call, searcher))
         except RuntimeError as error:
             self._classification_slots.release()
-            _log.info(
-                'searcher loss not classified', extra={'error': str(error)}
-            )
+            _log_unclassified(call, searcher, str(error))
 
-    def _classify_loss(self, content: Fingerprint, searcher: Searcher) -> None:
+    def _classify_loss(self, call: Call, searcher: Searcher) -> None:
+        content = fingerprint_of(call)
         try:
             evidence = self._loss_classifier.classify(
                 searcher.service,
@@ -120,8 +122,7 @@
         _log.warning(
             'searcher lost under a request',
             extra={
-                'fingerprint': content,
-                'searcher': searcher.searcher_id,
+                **_log_fields(call, searcher),
                 'evidence': evidence.name.lower(),
             },
         )
@@ -138,5 +139,21 @@
     return fingerprint(ServiceName(call.host), call.method.decode(), body)
 
 
+def _log_unclassified(call: Call, searcher: Searcher, reason: str) -> None:
+    _log.info(
+        'searcher loss not classified',
+        extra={**_log_fields(call, searcher), 'reason': reason},
+    )
+
+
+def _log_fields(call: Call, searcher: Searcher) -> dict[str, str]:
+    return {
+        'request': call.request_id.decode('latin-1'),
+        'fingerprint': fingerprint_of(call),
+        'searcher': searcher.searcher_id,
+        'address': searcher.address,
+    }
+
+
 def _ignore_change() -> None:
     """Do nothing; replaced once the links to the other VMs exist."""
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -339,6 +339,14 @@
                 self._fingerprints_by_searcher.pop(searcher)
 
 
+def count_quarantined(quarantine: Quarantine) -> int:
+    """Return how many contents are not run."""
+    return sum(
+        quarantine.suspicion_of(entry.fingerprint) is Suspicion.QUARANTINED
+        for entry in quarantine.entries()
+    )
+
+
 def _after_answer(
     strike: Strike,
     answered_searchers: Collection[SearcherAddress],
