Reproduce a crashing content that is never quarantined, failing and listed

A second test shows a fault behind it, which can't show while no loss is looked into: two deaths at one address, 10 s apart, count as one, so a small service never reaches two.

--- a/basilwall/parts/quarantine_test.py
+++ b/basilwall/parts/quarantine_test.py
@@ -54,3 +54,14 @@
         )
     assert [entry.fingerprint for entry in quarantine.entries()] == ['y', 'z']
     assert len(quarantine.struck_searchers('z')) == MAX_STRIKES_PER_ENTRY
+
+
+def test_deaths_at_one_address_count_each_once_it_has_started_again():
+    clock = ManualClock()
+    quarantine = Quarantine(clock)
+    for number in range(2):
+        clock.advance(10)
+        quarantine.strike(
+            'crashing', [Strike(f'{number}', 'only', Evidence.DIED)]
+        )
+    assert quarantine.suspicion_of('crashing') is Suspicion.QUARANTINED
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -118,6 +118,23 @@
     rate_limit: float | None = None
 
 
+@dataclass(slots=True)
+class Crash:
+    """When the process of a searcher ends.
+
+    Attributes:
+        content: Part of the targets of the requests under which it ends.
+        has_ended: Whether it has ended.
+    """
+
+    content: bytes = b''
+    has_ended: bool = False
+
+    def ends_under(self, request: SeenRequest) -> bool:
+        """Return whether the process ends once it has run a request."""
+        return bool(self.content) and self.content in request.target
+
+
 class PlatformSearcherStandIn:
     """One searcher that serves on threads.
 
@@ -126,6 +143,7 @@
         next_behaviours: How it handles the next requests, in order.
         behaviour: How it handles requests once `next_behaviours` is empty.
         announced: What its answers say of itself.
+        crash: When its process ends, and whether it has.
         seen: All requests that arrived.
         abandoned_connections: Connections closed by the client during a
             request that was handled with SILENT.
@@ -145,6 +163,7 @@
         self.next_behaviours: deque[Behaviour] = deque()
         self.behaviour = Behaviour.ANSWER
         self.announced = Announcements()
+        self.crash = Crash()
         self.seen: list[SeenRequest] = []
         self.abandoned_connections = 0
         self._listener = socket.create_server(
@@ -159,16 +178,27 @@
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
-        with suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self._stop_listening()
         for connection in tuple(self._connections):
             _reset(connection)
 
+    def end(self) -> None:
+        """Stop listening and close all connections, as a process that ends."""
+        self.crash.has_ended = True
+        self._stop_listening()
+        for connection in tuple(self._connections):
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def signature(self, request_id: bytes) -> bytes:
         """Return the signature of the answer to one request."""
         return b'.'.join((self.searcher_id.encode(), request_id))
 
+    def _stop_listening(self) -> None:
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _accept(self) -> None:
         while True:
             try:
@@ -210,6 +240,9 @@
         has_run = behaviour is not Behaviour.SHED
         self.seen.append(replace(request, has_run=has_run))
         time.sleep(self.work_seconds)
+        if self.crash.ends_under(request):
+            self.end()
+            return False
         request_id = request.header(b'request-id') or b''
         return self._respond(connection, behaviour, request_id)
 
