Count each crash of a searcher against a content, also at one address

Strikes were kept by address and the strongest of each address counted, so a service of one searcher never reached the two deaths that quarantine a content, however often it came back at its address under another id, and one of three or four reached them late. Now strikes stand for crashes: those on one process (id and start) within 3 s are the same crash, whichever VMs report it.

Received strikes were dated when they arrived, so to a VM that had restarted or was behind in gossip all deaths at an address were of one moment. Strikes now carry their age, in both programs.

An outage takes several searchers at once, and a request to many shards runs on all of them: crashes under one content within 1 s count as one for entry VMs, which send to all shards at once; basilwall serve sends to one searcher first and counts each. Answers clear strikes at the service that answered, also at searchers that are listed no more.

Gossip carried the 64 contents that had changed last, so contents struck in an outage could push the one that matters out of a message: contents with enough crashes go first, cleared ones are reported for 10 s.

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -61,6 +61,8 @@
 #: A change that is relayed by other VMs is in force within this time, even if
 #: the relaying VM has lost the store.
 MAX_RELAY_DELAY_SECONDS = 4.5
+#: An outage takes its searchers within this time.
+OUTAGE_MOMENT_SECONDS = 1.0
 THREAD_STACK_BYTES = 262_144
 THREAD_SWITCH_INTERVAL_SECONDS = 0.0005
 HTTP_OK = 200
@@ -225,7 +227,7 @@
         relay_address=settings.relay_address,
     )
     membership = Membership(own, clock, settings.seeds)
-    quarantine = Quarantine(clock)
+    quarantine = Quarantine(clock, moment_seconds=OUTAGE_MOMENT_SECONDS)
     messages = GossipMessages(membership, quarantine, rng)
     gossip = HttpGossip(messages, tasks, rng)
     return Fleet(membership, quarantine, gossip, tasks)
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -17,12 +17,14 @@
     encode_notice,
 )
 from basilwall.parts.membership import Member, Membership
-from basilwall.parts.quarantine import Quarantine
+from basilwall.parts.quarantine import ENTRY_TTL_SECONDS, Quarantine
 from basilwall.records.ids import (
     Fingerprint,
     Incarnation,
     IncidentId,
+    ProcessId,
     SearcherAddress,
+    ServiceName,
     VmAddress,
     Zone,
 )
@@ -56,6 +58,9 @@
     incident: str
     searcher: str
     evidence: int
+    seconds_ago: float = 0
+    process: str = ''
+    service: str = ''
 
 
 class _WireContent(msgspec.Struct, array_like=True):
@@ -120,20 +125,17 @@
         self._rng = rng
 
     def encode(self) -> bytes:
-        """Return a message with the members and the quarantined contents."""
+        """Return a message with the members and the contents with strikes."""
         members = [_to_wire(member) for member in self._sample_members()]
         contents = [
             _WireContent(
                 entry.fingerprint,
                 self.quarantine.seconds_left(entry.fingerprint),
                 tuple(
-                    _WireStrike(
-                        strike.incident, strike.searcher, strike.evidence
-                    )
-                    for strike in entry.strikes
+                    map(_strike_to_wire, self.quarantine.aged_strikes(entry))
                 ),
             )
-            for entry in self.quarantine.entries()[-MAX_CONTENTS:]
+            for entry in self.quarantine.entries_to_report()[-MAX_CONTENTS:]
         ]
         decoded = _GossipMessage(
             _to_wire(self.membership.own),
@@ -169,14 +171,7 @@
         )
 
     def _apply_content(self, content: _WireContent) -> None:
-        strikes = [
-            Strike(
-                IncidentId(strike.incident),
-                SearcherAddress(strike.searcher),
-                Evidence(max(min(strike.evidence, max(Evidence)), 0)),
-            )
-            for strike in content.strikes
-        ]
+        strikes = list(map(_strike_from_wire, content.strikes))
         fingerprint = Fingerprint(content.fingerprint)
         ttl_seconds = content.seconds_left
         if self.quarantine.strike(fingerprint, strikes, ttl_seconds):
@@ -198,6 +193,29 @@
         return members
 
 
+def _strike_to_wire(strike: Strike) -> _WireStrike:
+    return _WireStrike(
+        strike.incident,
+        strike.searcher,
+        strike.evidence,
+        strike.seconds_ago,
+        strike.process,
+        strike.service,
+    )
+
+
+def _strike_from_wire(wire: _WireStrike) -> Strike:
+    has_age = 0 <= wire.seconds_ago <= ENTRY_TTL_SECONDS
+    return Strike(
+        IncidentId(wire.incident),
+        SearcherAddress(wire.searcher),
+        Evidence(max(min(wire.evidence, max(Evidence)), 0)),
+        wire.seconds_ago if has_age else 0,
+        ProcessId(wire.process),
+        ServiceName(wire.service),
+    )
+
+
 def _to_wire(member: Member) -> _WireMember:
     return _WireMember(
         member.address,
--- a/basilwall/operators/reporting.py
+++ b/basilwall/operators/reporting.py
@@ -39,9 +39,9 @@
             values=self._platform.key_statuses(),
             leaving_searchers=self._leaving_searchers.notice_ages(),
             quarantine={
-                entry.fingerprint: tuple(sorted(entry.uncleared()))
+                entry.fingerprint: tuple(sorted(entry.struck_searchers()))
                 for entry in self._quarantine.entries()
-                if entry.uncleared()
+                if entry.struck_searchers()
             },
             counters=self._metrics.counters(),
             latencies=self._metrics.latencies(),
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -1,37 +1,44 @@
 """Quarantine of request contents that crash searchers.
 
 A strike records that the connection to a searcher was lost while the searcher
-ran a request content. After the first strike the content runs on one searcher
-at a time. After two searchers have died, it is not run until its entry
-expires. A strike does not count if another replica of the same part answered
-the content, or if another content explains the loss: one with a strike on the
-same searcher at the same time and at least the same total weight.
+ran a request content. After the first strike the content is suspect. After two
+crashes of searchers that died, it is not run until its entry expires. A strike
+does not count if another replica of the same part answered the content, or if
+another content explains the loss: one with a strike for the same crash and at
+least the same total weight.
 
 Contents are identified by their fingerprint.
 """
 
 import threading
-from collections import OrderedDict, defaultdict
-from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import replace
 from enum import Enum
+from functools import partial
 
 from basilwall.parts.clock import Clock
-from basilwall.records.ids import Fingerprint, IncidentId, SearcherAddress
-from basilwall.records.strike import Evidence, Strike
+from basilwall.parts.content_index import ContentIndex
+from basilwall.parts.content_strikes import (
+    SAME_CRASH_SECONDS,
+    ContentStrikes,
+    DatedStrike,
+    is_answer_by_same_part,
+    total_weight,
+)
+from basilwall.records.ids import Fingerprint, SearcherAddress, ServiceName
+from basilwall.records.strike import NO_SERVICE, Evidence, Strike
 
 #: Time after its last strike until an entry expires.
 ENTRY_TTL_SECONDS = 300.0
 MAX_ENTRIES = 10_000
-#: Strikes kept for one content, cleared ones included.
-MAX_STRIKES_PER_ENTRY = 32
-#: Strikes on one searcher within this time belong to the same crash.
-SAME_CRASH_SECONDS = 3.0
 #: Time after which no verdict on a pending strike is expected any more.
 VERDICT_TIMEOUT_SECONDS = 2.0
 #: Total weight that quarantines a content: two searchers that died, or four
 #: that only lost the connection.
 QUARANTINE_WEIGHT = 4
+#: How long a content is reported to other VMs after its last strike was
+#: cleared.
+REPORT_CLEARED_SECONDS = 10.0
 
 _WEIGHT_BY_EVIDENCE = {
     Evidence.PENDING: 1,
@@ -52,7 +59,7 @@
     """How far a request content is suspected of crashing searchers.
 
     NONE: no uncleared strikes; the content may run anywhere.
-    SUSPECT: the content runs on one searcher at a time.
+    SUSPECT: a searcher was lost under the content.
     AWAITING_VERDICT: the content becomes QUARANTINED if the searchers with
     pending strikes turn out to have died.
     QUARANTINED: the content is not run.
@@ -64,54 +71,6 @@
     QUARANTINED = 'quarantined'
 
 
-@dataclass(frozen=True, slots=True)
-class _ReceivedStrike:
-    """A strike and when this VM learned of it, in monotonic seconds."""
-
-    strike: Strike
-    received_at: float
-
-    @property
-    def is_uncleared(self) -> bool:
-        return self.strike.evidence is not Evidence.CLEARED
-
-
-@dataclass(slots=True)
-class QuarantineEntry:
-    """The strikes against one content.
-
-    `expires_at` is in monotonic seconds.
-    """
-
-    fingerprint: Fingerprint
-    expires_at: float
-    strike_by_incident: dict[IncidentId, _ReceivedStrike] = field(
-        default_factory=dict
-    )
-
-    @property
-    def strikes(self) -> list[Strike]:
-        """All strikes, cleared ones included."""
-        return [
-            received.strike
-            for received in tuple(self.strike_by_incident.values())
-        ]
-
-    def uncleared(self) -> dict[SearcherAddress, _ReceivedStrike]:
-        """Return the strongest uncleared strike of each searcher."""
-        by_searcher: dict[SearcherAddress, _ReceivedStrike] = {}
-        for received in self.strike_by_incident.values():
-            searcher = received.strike.searcher
-            strongest = by_searcher.get(searcher)
-            is_stronger = (
-                strongest is None
-                or strongest.strike.evidence < received.strike.evidence
-            )
-            if received.is_uncleared and is_stronger:
-                by_searcher[searcher] = received
-        return by_searcher
-
-
 class Quarantine:
     """Strikes by content fingerprint.
 
@@ -119,18 +78,30 @@
     oldest is removed first.
     """
 
-    def __init__(self, clock: Clock, max_entries: int = MAX_ENTRIES) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        max_entries: int = MAX_ENTRIES,
+        moment_seconds: float = 0,
+    ) -> None:
+        """Make a quarantine without any strikes.
+
+        Args:
+            clock: The monotonic clock.
+            max_entries: How many contents are kept.
+            moment_seconds: Crashes under one content within this time count as
+                one: an outage takes several searchers at once, and a content
+                may run on all of them. 0 if a content runs on one at a time.
+        """
         self._clock = clock
-        self._max_entries = max_entries
-        self._by_fingerprint: OrderedDict[Fingerprint, QuarantineEntry] = (
-            OrderedDict()
-        )
-        self._fingerprints_by_searcher: defaultdict[
-            SearcherAddress,
-            set[Fingerprint],
-        ] = defaultdict(set)
+        self._moment_seconds = moment_seconds
+        self._index = ContentIndex(max_entries)
         self._lock = threading.RLock()
 
+    def __len__(self) -> int:
+        """Return the number of contents with strikes."""
+        return len(self._index)
+
     def strike(
         self,
         fingerprint: Fingerprint,
@@ -151,63 +122,68 @@
         now = self._clock.monotonic()
         expires_at = now + min(ttl_seconds, ENTRY_TTL_SECONDS)
         with self._lock:
-            self._remove_expired(now)
-            entry = self._by_fingerprint.get(fingerprint)
+            self._index.remove_expired(now)
+            entry = self._index.get(fingerprint)
             if entry is None:
-                entry = QuarantineEntry(fingerprint, expires_at)
+                entry = ContentStrikes(fingerprint, expires_at, now)
             changes = [
-                self._add_strike(entry, strike, now) for strike in strikes
+                entry.add(strike, now - max(strike.seconds_ago, 0))
+                for strike in strikes
             ]
             if any(changes):
                 entry.expires_at = max(entry.expires_at, expires_at)
-                self._by_fingerprint[fingerprint] = entry
-                self._by_fingerprint.move_to_end(fingerprint)
-                self._enforce_limit()
+                entry.changed_at = now
+                self._index.put(entry)
         return any(changes)
 
     def record_answer(
         self,
         fingerprint: Fingerprint,
-        searchers: Collection[SearcherAddress],
+        searchers: Collection[SearcherAddress] = (),
+        service: ServiceName = NO_SERVICE,
     ) -> bool:
         """Lower the strikes against a content that was answered.
 
         Args:
             fingerprint: The hash of the request's content.
-            searchers: The replicas of the part that answered.
+            searchers: The replicas of the part that answered, if known.
+            service: The service that answered, if known.
 
         Returns:
             True if the evidence of a strike changed.
         """
         with self._lock:
-            entry = self._by_fingerprint.get(fingerprint)
+            now = self._clock.monotonic()
+            entry = self._index.get(fingerprint)
             if entry is None:
                 return False
             return self.strike(
                 fingerprint,
-                [_after_answer(strike, searchers) for strike in entry.strikes],
-                entry.expires_at - self._clock.monotonic(),
+                [
+                    _after_answer(strike, searchers, service)
+                    for strike in entry.strikes_at(now)
+                ],
+                entry.expires_at - now,
             )
 
     def suspicion_of(self, fingerprint: Fingerprint) -> Suspicion:
         """Return how far a content is suspected of crashing searchers."""
         with self._lock:
             entry = self._live_entry(fingerprint)
-            uncleared_strikes = entry.uncleared() if entry else {}
-            if not entry or not uncleared_strikes:
+            crashes = entry.crashes() if entry else []
+            if not entry or not crashes:
                 return Suspicion.NONE
+            weigh_expected = partial(_weight_if_died, self._clock.monotonic())
+            if self._total_weight(crashes, weigh_expected) < QUARANTINE_WEIGHT:
+                return Suspicion.SUSPECT
             unexplained = [
-                received
-                for received in uncleared_strikes.values()
-                if not self._has_other_cause(entry, received)
+                crash
+                for crash in crashes
+                if not self._has_other_cause(entry, crash)
             ]
-            now = self._clock.monotonic()
-        if sum(map(_weight, unexplained)) >= QUARANTINE_WEIGHT:
+        if self._total_weight(unexplained) >= QUARANTINE_WEIGHT:
             return Suspicion.QUARANTINED
-        expected_weight = sum(
-            _expected_weight(received, now) for received in unexplained
-        )
-        if expected_weight >= QUARANTINE_WEIGHT:
+        if self._total_weight(unexplained, weigh_expected) >= QUARANTINE_WEIGHT:
             return Suspicion.AWAITING_VERDICT
         return Suspicion.SUSPECT
 
@@ -231,112 +207,84 @@
             if entry is None:
                 return set()
             if include_cleared:
-                return {strike.searcher for strike in entry.strikes}
-            return set(entry.uncleared())
+                return {dated.strike.searcher for dated in entry.all_strikes()}
+            return entry.struck_searchers()
 
     def recently_died(self) -> set[SearcherAddress]:
         """Return searchers that died within `SAME_CRASH_SECONDS`."""
         died_after = self._clock.monotonic() - SAME_CRASH_SECONDS
         return {
-            searcher
+            crash.strike.searcher
             for entry in self.entries()
-            for searcher, received in entry.uncleared().items()
-            if received.strike.evidence >= Evidence.DIED
-            and received.received_at > died_after
+            for crash in entry.crashes()
+            if crash.strike.evidence >= Evidence.DIED
+            and crash.lost_at > died_after
         }
 
     def seconds_left(self, fingerprint: Fingerprint) -> float:
         """Return the time until a content's entry expires, 0 if it has none."""
-        entry = self._by_fingerprint.get(fingerprint)
+        entry = self._index.get(fingerprint)
         if entry is None:
             return 0
         return max(entry.expires_at - self._clock.monotonic(), 0)
 
-    def entries(self) -> list[QuarantineEntry]:
+    def entries(self) -> list[ContentStrikes]:
         """Return the entries that have not expired, newest last."""
         with self._lock:
-            self._remove_expired(self._clock.monotonic())
-            return list(self._by_fingerprint.values())
+            self._index.remove_expired(self._clock.monotonic())
+            return self._index.contents()
 
-    def _live_entry(self, fingerprint: Fingerprint) -> QuarantineEntry | None:
-        entry = self._by_fingerprint.get(fingerprint)
-        if entry is None or entry.expires_at > self._clock.monotonic():
-            return entry
-        self._remove(entry)
-        return None
+    def entries_to_report(self) -> list[ContentStrikes]:
+        """Return what other VMs should know, the most important last.
 
-    def _add_strike(
-        self,
-        entry: QuarantineEntry,
-        strike: Strike,
-        now: float,
-    ) -> bool:
-        """Add a strike; return False if it changes nothing."""
-        known = entry.strike_by_incident.get(strike.incident)
-        if (
-            known is None
-            and len(entry.strike_by_incident) >= MAX_STRIKES_PER_ENTRY
-        ):
-            return False
-        if known is not None and known.strike.evidence >= strike.evidence:
-            return False
-        received_at = known.received_at if known else now
-        entry.strike_by_incident[strike.incident] = _ReceivedStrike(
-            strike, received_at
+        Those are the contents with enough crashes for a quarantine and, before
+        them, the others whose strikes are not cleared or were so lately.
+        """
+        cleared_after = self._clock.monotonic() - REPORT_CLEARED_SECONDS
+        relevant = [
+            entry
+            for entry in self.entries()
+            if entry.struck_searchers() or entry.changed_at > cleared_after
+        ]
+        return sorted(
+            relevant,
+            key=lambda entry: (
+                self._total_weight(entry.crashes()) >= QUARANTINE_WEIGHT
+            ),
         )
-        self._fingerprints_by_searcher[strike.searcher].add(entry.fingerprint)
-        return True
+
+    def aged_strikes(self, entry: ContentStrikes) -> list[Strike]:
+        """Return the strikes against a content with their present age."""
+        with self._lock:
+            return entry.strikes_at(self._clock.monotonic())
+
+    def _live_entry(self, fingerprint: Fingerprint) -> ContentStrikes | None:
+        entry = self._index.get(fingerprint)
+        is_live = entry and entry.expires_at > self._clock.monotonic()
+        return entry if is_live else None
 
     def _has_other_cause(
-        self, entry: QuarantineEntry, received: _ReceivedStrike
+        self, entry: ContentStrikes, crash: DatedStrike
     ) -> bool:
-        """Return whether another content explains the loss of the searcher.
+        """Return whether another content explains the crash of a searcher.
 
-        That is a content with at least the same total weight and a strike on
-        the same searcher at the same time.
+        That is a content with at least the same total weight and a strike for
+        the same crash.
         """
-        searcher = received.strike.searcher
-        weight = _total_weight(entry)
-        on_same_searcher = self._fingerprints_by_searcher[searcher]
-        for fingerprint in tuple(on_same_searcher - {entry.fingerprint}):
-            other_entry = self._live_entry(fingerprint)
-            other_strike = (
-                other_entry.uncleared().get(searcher) if other_entry else None
-            )
-            if (
-                other_entry is None
-                or other_strike is None
-                or _total_weight(other_entry) < weight
-            ):
-                continue
-            if (
-                abs(other_strike.received_at - received.received_at)
-                <= SAME_CRASH_SECONDS
-            ):
+        weight = self._total_weight(entry.crashes())
+        for other in self._index.on_same_searcher(entry, crash.strike.searcher):
+            crashes = other.crashes()
+            is_as_heavy = self._total_weight(crashes) >= weight
+            if is_as_heavy and any(map(crash.is_same_crash, crashes)):
                 return True
         return False
 
-    def _remove_expired(self, now: float) -> None:
-        expired = [
-            entry
-            for entry in self._by_fingerprint.values()
-            if entry.expires_at <= now
-        ]
-        for entry in expired:
-            self._remove(entry)
-
-    def _enforce_limit(self) -> None:
-        while len(self._by_fingerprint) > self._max_entries:
-            self._remove(next(iter(self._by_fingerprint.values())))
-
-    def _remove(self, entry: QuarantineEntry) -> None:
-        self._by_fingerprint.pop(entry.fingerprint)
-        for strike in entry.strikes:
-            searcher = strike.searcher
-            fingerprints = self._fingerprints_by_searcher[searcher]
-            fingerprints.discard(entry.fingerprint)
-            if not fingerprints:
-                self._fingerprints_by_searcher.pop(searcher)
+    def _total_weight(
+        self,
+        crashes: list[DatedStrike],
+        weigh: Callable[[DatedStrike], int] | None = None,
+    ) -> int:
+        return total_weight(crashes, weigh or _weight, self._moment_seconds)
 
 
 def count_quarantined(quarantine: Quarantine) -> int:
@@ -350,24 +298,22 @@
 def _after_answer(
     strike: Strike,
     answered_searchers: Collection[SearcherAddress],
+    service: ServiceName,
 ) -> Strike:
     """Return a strike with its evidence after the content was answered."""
     evidence = _EVIDENCE_AFTER_ANSWER.get(strike.evidence, strike.evidence)
-    if strike.searcher in answered_searchers:
+    if is_answer_by_same_part(strike, answered_searchers, service):
         evidence = Evidence.CLEARED
-    return Strike(strike.incident, strike.searcher, evidence)
-
-
-def _weight(received: _ReceivedStrike) -> int:
-    return _WEIGHT_BY_EVIDENCE[received.strike.evidence]
+    return replace(strike, evidence=evidence)
 
 
-def _total_weight(entry: QuarantineEntry) -> int:
-    return sum(map(_weight, entry.uncleared().values()))
+def _weight(crash: DatedStrike) -> int:
+    return _WEIGHT_BY_EVIDENCE[crash.strike.evidence]
 
 
-def _expected_weight(received: _ReceivedStrike, now: float) -> int:
-    is_pending = received.strike.evidence is Evidence.PENDING
-    if is_pending and now - received.received_at < VERDICT_TIMEOUT_SECONDS:
+def _weight_if_died(now: float, crash: DatedStrike) -> int:
+    """Return the weight of a crash if a pending strike proves right."""
+    is_pending = crash.strike.evidence is Evidence.PENDING
+    if is_pending and now - crash.lost_at < VERDICT_TIMEOUT_SECONDS:
         return _WEIGHT_BY_EVIDENCE[Evidence.DIED]
-    return _weight(received)
+    return _weight(crash)
--- a/basilwall/parts/quarantine_test.py
+++ b/basilwall/parts/quarantine_test.py
@@ -1,11 +1,8 @@
 """Quarantine of contents when several ran on a searcher that died."""
 
 from basilwall.parts.clock import ManualClock
-from basilwall.parts.quarantine import (
-    MAX_STRIKES_PER_ENTRY,
-    Quarantine,
-    Suspicion,
-)
+from basilwall.parts.content_strikes import MAX_STRIKES
+from basilwall.parts.quarantine import Quarantine, Suspicion
 from basilwall.records.strike import Evidence, Strike
 
 
@@ -53,7 +50,7 @@
             ],
         )
     assert [entry.fingerprint for entry in quarantine.entries()] == ['y', 'z']
-    assert len(quarantine.struck_searchers('z')) == MAX_STRIKES_PER_ENTRY
+    assert len(quarantine.struck_searchers('z')) == MAX_STRIKES
 
 
 def test_deaths_at_one_address_count_each_once_it_has_started_again():
--- a/basilwall/peer/gossip.py
+++ b/basilwall/peer/gossip.py
@@ -254,11 +254,12 @@
                         incident=strike.incident,
                         searcher=strike.searcher,
                         evidence=strike.evidence,
+                        age_ms=int(strike.seconds_ago * MS_PER_SECOND),
                     )
-                    for strike in entry.strikes
+                    for strike in self.quarantine.aged_strikes(entry)
                 ],
             )
-            for entry in self.quarantine.entries()[-MAX_ENTRIES:]
+            for entry in self.quarantine.entries_to_report()[-MAX_ENTRIES:]
         ]
 
     def _leaving_to_wire(self) -> list[peer_pb2.LeavingSearcher]:
@@ -322,4 +323,5 @@
         IncidentId(wire.incident),
         SearcherAddress(wire.searcher),
         Evidence(min(wire.evidence, max(Evidence))),
+        wire.age_ms / MS_PER_SECOND,
     )
--- a/basilwall/query/canary_test.py
+++ b/basilwall/query/canary_test.py
@@ -207,7 +207,7 @@
         for entry in quarantine.entries():
             self.vms[receiver][0].strike(
                 entry.fingerprint,
-                entry.strikes,
+                quarantine.aged_strikes(entry),
                 quarantine.seconds_left(entry.fingerprint),
             )
 
--- a/basilwall/records/ids.py
+++ b/basilwall/records/ids.py
@@ -31,6 +31,9 @@
 #: observed it.
 IncidentId = NewType('IncidentId', str)
 
+#: One process of a searcher: its id and when it started.
+ProcessId = NewType('ProcessId', str)
+
 #: Assigned by the platform; increases with each change of any key.
 Revision = NewType('Revision', int)
 
--- a/basilwall/records/strike.py
+++ b/basilwall/records/strike.py
@@ -3,7 +3,15 @@
 from dataclasses import dataclass
 from enum import IntEnum, unique
 
-from basilwall.records.ids import IncidentId, SearcherAddress
+from basilwall.records.ids import (
+    IncidentId,
+    ProcessId,
+    SearcherAddress,
+    ServiceName,
+)
+
+NO_SERVICE = ServiceName('')
+UNKNOWN_PROCESS = ProcessId('')
 
 
 @unique
@@ -26,8 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Strike:
-    """The loss of one searcher while it ran a content."""
+    """The loss of one searcher while it ran a content.
+
+    `seconds_ago` is how long ago the searcher was lost when the strike was
+    recorded or sent. `process` tells successive processes at one address
+    apart; it and `service` are empty if they are not known.
+    """
 
     incident: IncidentId
     searcher: SearcherAddress
     evidence: Evidence
+    seconds_ago: float = 0
+    process: ProcessId = UNKNOWN_PROCESS
+    service: ServiceName = NO_SERVICE
