Take a connection that a searcher closes for the loss of the searcher

Cause: a process that ends closes its connections, and a connection closed before the reply was complete counted as a spoiled reply. Only a reset was looked into, so no VM ever suspected the content.

What is looked into now happens far more often, so the verdict is stricter and cheaper. Only a searcher that refuses connections has ended: one that is silent may be beyond a lost link, one that accepts and closes may be full. Others are probed only then: a broken answer costs one connect, not thirteen. No unrelated searcher reached excuses a content, in place of a second probe after the verdict, which dropped the strike wherever the content had ended every searcher; losses under the same content in the last 3 s are no sign of an outage, and that is asked again after the probe. An answer speaks for a content. Attempts that were hedged or that their request no longer needs are noted as well.

--- a/basilwall/backend/crash_tracker.py
+++ b/basilwall/backend/crash_tracker.py
@@ -182,22 +182,24 @@
         content: Content,
         searcher: SearcherAddress,
     ) -> Evidence:
-        content_fingerprint = content.fingerprint
-        excluded = self._quarantine.recently_died()
-        other_lost = self._quarantine.struck_searchers(content_fingerprint)
-        if self._known_good.snapshot_of(content_fingerprint) is None:
-            # Content that was never answered may itself have crashed the
-            # searchers whose strikes were cleared.
-            excluded |= self._quarantine.struck_searchers(
-                content_fingerprint, include_cleared=True
-            )
         return self._loss_classifier.classify(
             content.service,
             searcher,
-            excluded,
-            other_lost,
+            partial(self._crashed_searchers, content),
+            self._quarantine.struck_searchers(content.fingerprint),
         )
 
+    def _crashed_searchers(self, content: Content) -> set[SearcherAddress]:
+        """Return the searchers that contents may have crashed."""
+        crashed = self._quarantine.recently_died()
+        if self._known_good.snapshot_of(content.fingerprint) is None:
+            # Content that was never answered may itself have crashed the
+            # searchers whose strikes were cleared.
+            crashed |= self._quarantine.struck_searchers(
+                content.fingerprint, include_cleared=True
+            )
+        return crashed
+
     def _add_strike(self, content: Content, strike: Strike) -> None:
         _log.warning(
             'searcher lost',
--- a/basilwall/backend/loss_classifier.py
+++ b/basilwall/backend/loss_classifier.py
@@ -15,7 +15,7 @@
 from basilwall.records.ids import SearcherAddress, ServiceName
 from basilwall.records.strike import Evidence
 
-#: Duration of the first probe of the lost and the unrelated searchers.
+#: Duration of the first probe of a lost searcher, and of the unrelated ones.
 PROBE_SECONDS = 0.15
 #: Duration of the second probe of a lost searcher that still accepts.
 LONG_PROBE_SECONDS = 0.6
@@ -29,6 +29,8 @@
 
 #: Returns the searchers that may be probed for a lost one, by its service.
 ListSearchers = Callable[[ServiceName], Collection[SearcherAddress]]
+#: Returns the searchers that a content may have crashed.
+ListExcluded = Callable[[], Collection[SearcherAddress]]
 Probe = Callable[[Collection[SearcherAddress], float], set[SearcherAddress]]
 
 
@@ -41,11 +43,23 @@
         clock: Clock,
         rng: random.Random,
         probe: Probe = find_dead,
+        probe_lost: Probe | None = None,
     ) -> None:
+        """Make a classifier.
+
+        Args:
+            list_searchers: Returns the searchers that may be probed.
+            clock: Dates deaths.
+            rng: Draws the order in which searchers are probed.
+            probe: Returns which of some searchers are not reached.
+            probe_lost: Returns which of some lost searchers have ended; None
+                if those that are not reached have.
+        """
         self._list_searchers = list_searchers
         self._clock = clock
         self._salt = rng.random()
         self._probe = probe
+        self._probe_lost = probe_lost or probe
         self._dead_since: dict[SearcherAddress, float] = {}
         self._lock = threading.Lock()
 
@@ -53,7 +67,7 @@
         self,
         service: ServiceName,
         searcher: SearcherAddress,
-        excluded: Collection[SearcherAddress],
+        find_excluded: ListExcluded,
         other_lost: Collection[SearcherAddress],
     ) -> Evidence:
         """Classify the loss of a connection to a searcher.
@@ -61,29 +75,33 @@
         Args:
             service: The service of the searcher.
             searcher: The searcher whose connection was lost.
-            excluded: Searchers whose death is no sign of an outage, because
-                a content may have crashed them.
+            find_excluded: Returns the searchers whose death is no sign of an
+                outage, because a content may have crashed them; called before
+                the probe of the others and after it.
             other_lost: Searchers lost under the same content; they are probed
                 as well, unless they are excluded.
 
         Returns:
-            SPARED if unrelated searchers died at the same time. Otherwise
-            DIED if the searcher accepts no connections, LOST if it does.
+            LOST if the searcher has not ended. Otherwise SPARED if unrelated
+            searchers died at the same time, or if none of them is reached;
+            else DIED.
         """
-        ineligible = {searcher, *excluded}
+        if not self._has_ended(searcher):
+            return Evidence.LOST
+        ineligible = {searcher, *find_excluded()}
         unrelated = self._choose_unrelated(
             service, ineligible | set(other_lost)
         )
         unrelated.update(
             sorted(set(other_lost) - ineligible)[:MAX_UNRELATED_PROBED]
         )
-        dead = self._probe([searcher, *unrelated], PROBE_SECONDS)
-        newly_dead = self._newly_dead({searcher, *unrelated}, dead)
-        if len(newly_dead & unrelated) >= MIN_UNRELATED_DEAD:
-            return Evidence.SPARED
-        if searcher in dead or self._probe([searcher], LONG_PROBE_SECONDS):
-            return Evidence.DIED
-        return Evidence.LOST
+        dead = self._probe(unrelated, PROBE_SECONDS) if unrelated else set()
+        newly_dead = self._newly_dead({searcher, *unrelated}, {searcher, *dead})
+        unrelated.difference_update(find_excluded())
+        is_outage = len(newly_dead & unrelated) >= MIN_UNRELATED_DEAD
+        # Without any link to a searcher, this VM can't tell what ended one.
+        has_no_links = bool(unrelated) and unrelated <= dead
+        return Evidence.SPARED if is_outage or has_no_links else Evidence.DIED
 
     def note_alive(self, searcher: SearcherAddress) -> None:
         """Record that a searcher has answered."""
@@ -91,6 +109,13 @@
             with self._lock:
                 self._dead_since.pop(searcher, None)
 
+    def _has_ended(self, searcher: SearcherAddress) -> bool:
+        # A process that is ending may still accept connections for a moment.
+        return any(
+            self._probe_lost([searcher], seconds)
+            for seconds in (PROBE_SECONDS, LONG_PROBE_SECONDS)
+        )
+
     def _choose_unrelated(
         self,
         service: ServiceName,
--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier
-from basilwall.backend.probe import find_dead
+from basilwall.backend.probe import find_dead, find_refusing
 from basilwall.fleet.entry_fleet import Fleet
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.connection_pools import ConnectionPools
@@ -16,6 +16,7 @@
 from basilwall.forwarding.reporting import RequestReporter
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_transport import SocketTransport
+from basilwall.forwarding.superseded import SupersededAttempts
 from basilwall.ingress.server import Ingress
 from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
@@ -100,8 +101,17 @@
     fleet.gossip.messages.apply_rate_limit = selector.apply_rate_limit
     routing_state.subscribe(pools.drop_unlisted)
     routing_state.subscribe(selector.forget_unlisted)
+    crash_detector = _build_crash_detector(
+        routing_state, fleet, links, clock, rng
+    )
     transport = SocketTransport(
-        routing_state, selector, pools, codec, links, memory, clock
+        routing_state,
+        pools,
+        codec,
+        links,
+        memory,
+        SupersededAttempts(selector, crash_detector, clock),
+        clock,
     )
     retry_policy = RetryPolicy(lambda: current.value.bounds, fleet.size, clock)
     context = ForwardingContext(
@@ -109,7 +119,7 @@
         selector,
         transport,
         retry_policy,
-        _build_crash_detector(routing_state, fleet, links, clock, rng),
+        crash_detector,
         clock,
         lambda: links.are_lost,
     )
@@ -163,9 +173,16 @@
 ) -> ProbingCrashDetector:
     crash_detector = ProbingCrashDetector(
         fleet.quarantine,
-        LossClassifier(routing_state.all_addresses, clock, rng),
+        LossClassifier(
+            routing_state.all_addresses,
+            clock,
+            rng,
+            find_dead,
+            find_refusing,
+        ),
         fleet.tasks,
         fleet.membership.own.incarnation,
+        clock,
         links.examine,
     )
     crash_detector.on_change = fleet.gossip.push_to_peers
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -2,25 +2,42 @@
 
 Callers retry a failed request at any VM, so without this check one such
 request would crash the searchers of a service one after another. When an
-attempt loses its connection, the VM probes whether its searcher still accepts
-connections, and also probes unrelated searchers that did not run the content:
-if those are down as well, the outage is not caused by the content. Once two
-searchers have died while running a content, every VM quarantines it.
+attempt loses its connection, the VM probes whether the searcher's process has
+ended. If so, it also probes unrelated searchers that did not run the content:
+if those are down as well, the outage is not caused by the content. Once
+searchers have died twice while running a content, every VM quarantines it. A
+searcher that answers a content speaks for it.
 """
 
 import itertools
 import logging
 import threading
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier
+from basilwall.parts.clock import Clock
+from basilwall.parts.content_strikes import SAME_CRASH_SECONDS
 from basilwall.parts.fingerprints import fingerprint
 from basilwall.parts.quarantine import Quarantine, Suspicion
 from basilwall.parts.tasks import TaskGroup
-from basilwall.records.forwarding import AttemptResult, Call, LossReason, Lost
-from basilwall.records.ids import Fingerprint, IncidentId, ServiceName
+from basilwall.records.forwarding import (
+    AttemptResult,
+    Call,
+    LossReason,
+    Lost,
+    Reply,
+)
+from basilwall.records.ids import (
+    Fingerprint,
+    IncidentId,
+    ProcessId,
+    SearcherAddress,
+    ServiceName,
+)
 from basilwall.records.searcher import Searcher
 from basilwall.records.strike import Evidence, Strike
 
@@ -48,6 +65,16 @@
         """Record the outcome of an attempt that was not abandoned."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """A searcher that was lost under a request, at a monotonic time."""
+
+    call: Call
+    searcher: Searcher
+    content: Fingerprint
+    lost_at: float
+
+
 class ProbingCrashDetector(CrashDetector):
     """Probes the searchers that were lost and shares strikes with all VMs."""
 
@@ -57,7 +84,8 @@
         loss_classifier: LossClassifier,
         tasks: TaskGroup,
         name: str,
-        links_work: Callable[[], bool],
+        clock: Clock,
+        check_links: Callable[[], object],
     ) -> None:
         """Make a detector.
 
@@ -66,23 +94,27 @@
             loss_classifier: Probes lost searchers.
             tasks: Runs the probes.
             name: Unique name of this process, for the ids of its strikes.
-            links_work: Probes whether this VM reaches any searcher. If not, a
-                lost searcher says nothing of the request.
+            clock: Dates losses.
+            check_links: Called when unrelated searchers were lost as well.
         """
-        self._links_work = links_work
+        self._check_links = check_links
         self.on_change: Callable[[], None] = _ignore_change
         self._quarantine = quarantine
         self._loss_classifier = loss_classifier
         self._tasks = tasks
+        self._clock = clock
         self._incident_ids = (
             f'{name}/{number}' for number in itertools.count()
         )
         self._classification_slots = threading.BoundedSemaphore(
             MAX_CLASSIFICATIONS
         )
+        self._recent_losses = _RecentLosses()
 
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a request's content is known to crash searchers."""
+        if not len(self._quarantine):
+            return False
         suspicion = self._quarantine.suspicion_of(fingerprint_of(call))
         return suspicion is Suspicion.QUARANTINED
 
@@ -94,43 +126,116 @@
         self, call: Call, searcher: Searcher, outcome: AttemptResult
     ) -> None:
         """Record the outcome of an attempt that was not abandoned."""
-        if not isinstance(outcome, Lost):
+        if isinstance(outcome, Reply) and outcome.is_success:
+            self._note_answer(call, searcher)
+        elif isinstance(outcome, Lost):
+            self._note_loss(call, searcher, outcome.reason)
+
+    def _note_answer(self, call: Call, searcher: Searcher) -> None:
+        self._loss_classifier.note_alive(searcher.address)
+        if not len(self._quarantine):
             return
-        if outcome.reason is not LossReason.CUT:
-            _log_unclassified(call, searcher, outcome.reason.value)
+        content = fingerprint_of(call)
+        service = searcher.service
+        if self._quarantine.record_answer(content, service=service):
+            suspicion = self._quarantine.suspicion_of(content)
+            _log.info(
+                'searcher answered a suspected request',
+                extra={
+                    **_log_fields(call, searcher, content),
+                    'suspicion': suspicion.value,
+                },
+            )
+
+    def _note_loss(
+        self, call: Call, searcher: Searcher, reason: LossReason
+    ) -> None:
+        loss = _Loss(
+            call, searcher, fingerprint_of(call), self._clock.monotonic()
+        )
+        if reason is not LossReason.CUT:
+            _log_unclassified(loss, reason.value)
             return
+        self._recent_losses.add(loss)
         if not self._classification_slots.acquire(blocking=False):
-            _log_unclassified(call, searcher, 'too many at a time')
+            _log_unclassified(loss, 'too many at a time')
             return
         try:
-            self._tasks.start(partial(self._classify_loss, call, searcher))
+            self._tasks.start(partial(self._run_classification, loss))
         except RuntimeError as error:
             self._classification_slots.release()
-            _log_unclassified(call, searcher, str(error))
+            _log_unclassified(loss, str(error))
 
-    def _classify_loss(self, call: Call, searcher: Searcher) -> None:
-        content = fingerprint_of(call)
+    def _run_classification(self, loss: _Loss) -> None:
         try:
-            evidence = self._loss_classifier.classify(
-                searcher.service,
-                searcher.address,
-                self._quarantine.recently_died(),
-                self._quarantine.struck_searchers(content),
-            )
+            evidence = self._classify(loss)
         finally:
             self._classification_slots.release()
         _log.warning(
             'searcher lost under a request',
             extra={
-                **_log_fields(call, searcher),
+                **_log_fields(loss.call, loss.searcher, loss.content),
                 'evidence': evidence.name.lower(),
             },
         )
-        if evidence is Evidence.DIED and self._links_work():
-            incident = IncidentId(next(self._incident_ids))
-            strike = Strike(incident, searcher.address, evidence)
-            self._quarantine.strike(content, [strike])
-            self.on_change()
+        if evidence is Evidence.DIED:
+            self._strike(loss)
+        elif evidence is Evidence.SPARED:
+            self._check_links()
+
+    def _classify(self, loss: _Loss) -> Evidence:
+        return self._loss_classifier.classify(
+            loss.searcher.service,
+            loss.searcher.address,
+            partial(self._crashed_searchers, loss.content),
+            (),
+        )
+
+    def _crashed_searchers(self, content: Fingerprint) -> set[SearcherAddress]:
+        """Return the searchers that this content or others may have ended."""
+        return (
+            self._quarantine.recently_died()
+            | self._quarantine.struck_searchers(content)
+            | self._recent_losses.searchers_of(content)
+        )
+
+    def _strike(self, loss: _Loss) -> None:
+        searcher = loss.searcher
+        strike = Strike(
+            IncidentId(next(self._incident_ids)),
+            searcher.address,
+            Evidence.DIED,
+            self._clock.monotonic() - loss.lost_at,
+            ProcessId(f'{searcher.searcher_id}/{searcher.started_ms}'),
+            searcher.service,
+        )
+        self._quarantine.strike(loss.content, [strike])
+        self.on_change()
+
+
+class _RecentLosses:
+    """The searchers that were lost lately, by the content that they ran."""
+
+    def __init__(self) -> None:
+        self._losses: deque[_Loss] = deque()
+        self._lock = threading.Lock()
+
+    def add(self, loss: _Loss) -> None:
+        """Record a loss, and forget those that are no longer recent."""
+        oldest_kept = loss.lost_at - SAME_CRASH_SECONDS
+        with self._lock:
+            self._losses.append(loss)
+            while self._losses[0].lost_at < oldest_kept:
+                self._losses.popleft()
+
+    def searchers_of(self, content: Fingerprint) -> set[SearcherAddress]:
+        """Return the searchers lost under a content."""
+        with self._lock:
+            return {
+                loss.searcher.address
+                for loss in self._losses
+                if loss.content == content
+            }
 
 
 def fingerprint_of(call: Call) -> Fingerprint:
@@ -139,17 +244,22 @@
     return fingerprint(ServiceName(call.host), call.method.decode(), body)
 
 
-def _log_unclassified(call: Call, searcher: Searcher, reason: str) -> None:
+def _log_unclassified(loss: _Loss, reason: str) -> None:
     _log.info(
         'searcher loss not classified',
-        extra={**_log_fields(call, searcher), 'reason': reason},
+        extra={
+            **_log_fields(loss.call, loss.searcher, loss.content),
+            'reason': reason,
+        },
     )
 
 
-def _log_fields(call: Call, searcher: Searcher) -> dict[str, str]:
+def _log_fields(
+    call: Call, searcher: Searcher, content: Fingerprint
+) -> dict[str, str]:
     return {
         'request': call.request_id.decode('latin-1'),
-        'fingerprint': fingerprint_of(call),
+        'fingerprint': content,
         'searcher': searcher.searcher_id,
         'address': searcher.address,
     }
--- a/basilwall/forwarding/crash_detection_test.py
+++ b/basilwall/forwarding/crash_detection_test.py
@@ -1,32 +1,164 @@
 """Tests of the evidence that lost searchers give against requests."""
 
+import random
+
 import pytest
 
+from basilwall.backend.loss_classifier import LossClassifier
 from basilwall.forwarding.crash_detection import ProbingCrashDetector
 from basilwall.parts.clock import ManualClock
-from basilwall.parts.quarantine import Quarantine
+from basilwall.parts.quarantine import Quarantine, Suspicion
 from basilwall.parts.tasks import task_group
-from basilwall.records.forwarding import Call, LossReason, Lost
+from basilwall.records.forwarding import Call, LossReason, Lost, Reply
 from basilwall.records.searcher import Searcher
-from basilwall.records.strike import Evidence
 
-SEARCHER = Searcher('s-1', 's', 's-1:1', 'z', 2, False, 0, 1)
-CALL = Call(b'GET', b'/a/', 'h', b'1', b'', b'', 0, 1)
+OTHERS = [f'other-{number}:1' for number in range(4)]
+MOMENT_SECONDS = 1.0
+RESTART_SECONDS = 2.0
+
+
+def searcher(name='s-1', service='s', started_ms=1, address='s:1'):
+    return Searcher(name, service, address, 'z', 2, False, 0, started_ms)
+
+
+def call(target=b'/a/'):
+    return Call(b'GET', target, 'h', b'1', b'', b'', 0, 1)
+
+
+class Vm:
+    """A VM to which the searchers in `dead` refuse connections."""
+
+    def __init__(self, others=OTHERS):
+        self.clock = ManualClock()
+        self.quarantine = Quarantine(self.clock, moment_seconds=MOMENT_SECONDS)
+        self.dead = set()
+        self._others = others
 
+    def probe(self, addresses, _):
+        return set(addresses) & self.dead
 
-class DeadSearchers:
-    """A classifier to which every lost searcher seems to have died."""
+    def note(self, *outcomes):
+        """Record attempts that end at the same time."""
+        addresses = [*self._others, *{one.address for _, one, _ in outcomes}]
+        with task_group('test') as tasks:
+            detector = ProbingCrashDetector(
+                self.quarantine,
+                LossClassifier(
+                    lambda _: addresses,
+                    self.clock,
+                    random.Random(1),
+                    self.probe,
+                ),
+                tasks,
+                f'vm-{self.clock.monotonic()}',
+                self.clock,
+                int,
+            )
+            for outcome in outcomes:
+                detector.note_outcome(*outcome)
 
-    def classify(self, *_):
-        return Evidence.DIED
+    def lose(self, *requests):
+        """Record requests lost with their searchers at the same time."""
+        self.dead.update(one.address for _, one in requests)
+        self.note(
+            *((sent, one, Lost(one, LossReason.CUT)) for sent, one in requests)
+        )
+        self.clock.advance(RESTART_SECONDS)
+        self.dead.difference_update(one.address for _, one in requests)
+
+    def answer(self, sent, one):
+        reply = Reply(one.searcher_id, 200, b'', (), b'', b'signed', True)
+        self.note((sent, one, reply))
+
+    def is_quarantined(self):
+        (entry,) = self.quarantine.entries()
+        suspicion = self.quarantine.suspicion_of(entry.fingerprint)
+        return suspicion is Suspicion.QUARANTINED
 
 
 @pytest.mark.parametrize(('links_work', 'strikes'), [(True, 1), (False, 0)])
 def test_a_vm_without_links_blames_no_request(links_work, strikes):
-    quarantine = Quarantine(ManualClock())
-    with task_group('test') as tasks:
-        detector = ProbingCrashDetector(
-            quarantine, DeadSearchers(), tasks, 'vm', lambda: links_work
-        )
-        detector.note_outcome(CALL, SEARCHER, Lost('s-1', LossReason.CUT))
-    assert len(quarantine.entries()) == strikes
+    vm = Vm()
+    vm.dead = set() if links_work else set(OTHERS)
+    vm.lose((call(), searcher()))
+    # A cut that lasts is no newer sign of an outage than at first.
+    vm.clock.advance(60)
+    vm.lose((call(), searcher()))
+    assert len(vm.quarantine.entries()) == strikes
+
+
+def test_a_service_of_one_searcher_loses_it_to_a_content_twice():
+    vm = Vm()
+    vm.lose((call(), searcher('s-1')))
+    assert not vm.is_quarantined()
+    vm.lose((call(), searcher('s-2')))
+    assert vm.is_quarantined()
+
+
+@pytest.mark.parametrize('others', [[], ['only-other:1']])
+def test_a_content_is_quarantined_where_few_searchers_tell_of_outages(others):
+    vm = Vm(others)
+    vm.lose((call(), searcher('s-1')))
+    vm.lose((call(), searcher('s-2')))
+    assert vm.is_quarantined()
+
+
+def test_a_searcher_that_starts_again_under_its_id_crashes_again():
+    vm = Vm()
+    vm.lose((call(), searcher(started_ms=1)))
+    vm.lose((call(), searcher(started_ms=2)))
+    assert vm.is_quarantined()
+
+
+def test_two_requests_of_a_content_lost_with_one_searcher_are_one_crash():
+    vm = Vm()
+    vm.lose((call(), searcher()), (call(), searcher()))
+    assert not vm.is_quarantined()
+
+
+def shards():
+    return [
+        searcher(f's-{number}', f'shard-{number}', address=f's-{number}:1')
+        for number in range(6)
+    ]
+
+
+def test_an_outage_of_many_shards_quarantines_no_content():
+    vm = Vm()
+    vm.lose(*((call(), shard) for shard in shards()))
+    assert not vm.is_quarantined()
+
+
+def test_a_content_that_crashes_many_shards_twice_is_quarantined():
+    vm = Vm()
+    vm.lose(*((call(), shard) for shard in shards()))
+    vm.lose(*((call(), shard) for shard in shards()))
+    assert vm.is_quarantined()
+
+
+def test_crashes_at_several_services_add_up():
+    vm = Vm()
+    vm.lose((call(), searcher('a-1', 'a', address='a:1')))
+    vm.lose((call(), searcher('b-1', 'b', address='b:1')))
+    assert vm.is_quarantined()
+
+
+def test_a_content_that_was_answered_is_not_blamed_for_earlier_crashes():
+    vm = Vm()
+    for number in range(6):
+        vm.lose((call(), searcher(f's-{number}')))
+        vm.answer(call(), searcher('s-other', address='elsewhere:1'))
+    assert not vm.is_quarantined()
+
+
+def test_contents_lost_beside_a_crashing_one_are_not_blamed():
+    vm = Vm()
+    for number in range(6):
+        beside = call(b'/beside/%d' % (number // 2))
+        lost = searcher(f's-{number}')
+        vm.lose((call(), lost), (beside, lost))
+    suspicions = [
+        vm.quarantine.suspicion_of(entry.fingerprint)
+        for entry in vm.quarantine.entries()
+    ]
+    assert suspicions.count(Suspicion.QUARANTINED) == 1
--- a/basilwall/forwarding/reply_reader.py
+++ b/basilwall/forwarding/reply_reader.py
@@ -37,6 +37,10 @@
     """The received bytes are not a valid reply to the request."""
 
 
+class IncompleteReplyError(InvalidReplyError):
+    """The searcher closed the connection before its reply was complete."""
+
+
 @dataclass(frozen=True, slots=True)
 class CompleteReply:
     """A reply that was read to its end.
@@ -85,6 +89,7 @@
 
         Raises:
             InvalidReplyError: If the bytes are not a valid reply.
+            IncompleteReplyError: If the connection was closed too early.
         """
         if not chunk:
             return self._end_connection()
@@ -148,7 +153,7 @@
         """Return a reply whose body is delimited by the end of stream."""
         head = self._messages.head
         if head is None or _is_framed(head) or not self._is_final_reply(head):
-            raise InvalidReplyError(
+            raise IncompleteReplyError(
                 'connection closed before the reply was complete'
             )
         return CompleteReply(
--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -13,6 +13,7 @@
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.reply_reader import (
     CompleteReply,
+    IncompleteReplyError,
     InvalidReplyError,
     ReplyReader,
 )
@@ -109,7 +110,7 @@
             self.outcome = self._advance()
         except BlockingIOError:
             return None
-        except OSError as error:
+        except (OSError, IncompleteReplyError) as error:
             self.outcome = self._failed(LossReason.CUT, str(error))
         except InvalidReplyError as error:
             self.outcome = self._failed(LossReason.SPOILED, str(error))
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -16,7 +16,6 @@
 from basilwall.records.searcher import Searcher
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.searcher_links import SearcherLinks
-from basilwall.routing.selection import SearcherSelector
 
 
 class SocketTransport(Transport[SocketAttempt]):
@@ -25,16 +24,15 @@
     def __init__(
         self,
         routing_state: RoutingState,
-        selector: SearcherSelector,
         pools: ConnectionPools[SearcherConnection],
         codec: AttemptCodec,
         links: SearcherLinks,
         memory: ByteBudget,
+        superseded: SupersededAttempts,
         clock: Clock,
     ) -> None:
-        self.superseded = SupersededAttempts(
-            selector, self.release_connection, clock
-        )
+        self.superseded = superseded
+        superseded.release_connection = self.release_connection
         self._routing_state = routing_state
         self._pools = pools
         self._codec = codec
--- a/basilwall/forwarding/superseded.py
+++ b/basilwall/forwarding/superseded.py
@@ -9,6 +9,7 @@
 import threading
 from collections.abc import Callable
 
+from basilwall.forwarding.crash_detection import CrashDetector
 from basilwall.forwarding.socket_attempt import SocketAttempt
 from basilwall.forwarding.socket_waiter import SocketWaiter
 from basilwall.forwarding.transport import Attempt
@@ -56,18 +57,22 @@
     def __init__(
         self,
         selector: SearcherSelector,
-        release_connection: Callable[[SocketAttempt], None],
+        crash_detector: CrashDetector,
         clock: Clock,
     ) -> None:
         """Prepare the thread's work.
 
         Args:
             selector: Holds the statistics of searchers.
-            release_connection: Returns a connection to its pool or closes it.
+            crash_detector: Learns which searchers were lost or answered.
             clock: The monotonic clock.
         """
         self._selector = selector
-        self._release_connection = release_connection
+        self._crash_detector = crash_detector
+        #: Returns the connection of an attempt to its pool or closes it.
+        self.release_connection: Callable[[SocketAttempt], None] = (
+            _close_connection
+        )
         self._clock = clock
         self._waiter = SocketWaiter()
         self._new_attempts: queue.SimpleQueue[tuple[SocketAttempt, int]] = (
@@ -93,7 +98,7 @@
         while not stopping.is_set():
             self._start(block=not self._numbers_by_attempt)
             for attempt, outcome in self._waiter.wait(POLL_INTERVAL_SECONDS):
-                self._end(attempt, outcome)
+                self._note_and_end(attempt, outcome)
             self._close_overdue()
 
     def _start(self, *, block: bool) -> None:
@@ -104,17 +109,25 @@
         self._numbers_by_attempt[attempt] = attempt_number
         outcome = self._waiter.add(attempt)
         if outcome is not None:
-            self._end(attempt, outcome)
+            self._note_and_end(attempt, outcome)
         if not self._new_attempts.empty():
             self._start(block=False)
 
+    def _note_and_end(
+        self, attempt: SocketAttempt, outcome: AttemptResult
+    ) -> None:
+        self._crash_detector.note_outcome(
+            attempt.call, attempt.searcher, outcome
+        )
+        self._end(attempt, outcome)
+
     def _end(self, attempt: SocketAttempt, outcome: AttemptResult) -> None:
         attempt_number = self._numbers_by_attempt.pop(attempt)
         now = self._clock.monotonic()
         record_superseded_result(
             self._selector, attempt, attempt_number, outcome, now
         )
-        self._release_connection(attempt)
+        self.release_connection(attempt)
 
     def _close_overdue(self) -> None:
         oldest_allowed = self._clock.monotonic() - SUPERSEDED_TIMEOUT_SECONDS
@@ -125,4 +138,9 @@
 
     def _close(self, attempt: SocketAttempt, attempt_number: int) -> None:
         self._selector.stats_of(attempt.searcher).record_ended(attempt_number)
-        self._release_connection(attempt)
+        self.release_connection(attempt)
+
+
+def _close_connection(attempt: SocketAttempt) -> None:
+    """Close a connection; replaced once there is a pool of connections."""
+    attempt.connection.close()
