Send no hedge or retry of a content once it is quarantined

A request was checked when it arrived only, so one that waited for a retry while other VMs reported the crashes still reached another searcher.

--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+from functools import partial
 from typing import Any
 
 from basilwall.forwarding.completion import CompletionPolicy
@@ -53,6 +54,9 @@
         self._waiter = waiter
         self._clock = context.clock
         self._hedge_delay = context.retry_policy.hedge_delay(route)
+        self._is_quarantined = partial(
+            context.crash_detector.is_quarantined, call
+        )
         self._may_hedge = route.retry_safety is RetrySafety.IDEMPOTENT
         self._subrequests_by_attempt: dict[Attempt, SubRequest] = {}
         self._first_choices: Sequence[SearcherStats | None] = ()
@@ -129,8 +133,8 @@
             self._release(attempt, subrequest, is_cancelled=caller_left)
 
     def _send_next(self, subrequest: SubRequest) -> bool:
-        """Send a further attempt; False if no searcher or no time is left."""
-        if not self._may_send(subrequest):
+        """Send a further attempt; False if none is possible or allowed."""
+        if self._is_quarantined() or not self._may_send(subrequest):
             return False
         stats = self._context.selector.pick_and_count(
             subrequest.service, subrequest.tried
@@ -184,7 +188,7 @@
         budget = self._context.retry_policy.budget(subrequest.service)
         pick = self._context.selector.pick
         other = None
-        if self._may_send(subrequest):
+        if self._may_send(subrequest) and not self._is_quarantined():
             other = pick(subrequest.service, subrequest.tried)
         if other is None:
             self._add_step(
--- a/basilwall/forwarding/execution_test.py
+++ b/basilwall/forwarding/execution_test.py
@@ -96,6 +96,9 @@
 class DetectorStub:
     """Ignores outcomes."""
 
+    def is_quarantined(self, call):
+        return False
+
     def note_outcome(self, *_):
         """Do nothing."""
 
