Push changes to other VMs at most each 0.1 s

Each strike is pushed to up to 16 VMs at once. With closed connections looked into, an outage can strike dozens of contents of a VM in a moment; the first is pushed at once, the rest together.

--- a/basilwall/fleet/gossip.py
+++ b/basilwall/fleet/gossip.py
@@ -7,6 +7,7 @@
 import http.client
 import logging
 import random
+import threading
 from functools import partial
 
 from basilwall.fleet.gossip_messages import GossipMessages, TellingError
@@ -28,6 +29,9 @@
 #: Peers that an urgent change is pushed to; the others get it from these.
 PUSH_FANOUT = 16
 
+#: Time from a push to the next one.
+PUSH_PAUSE_SECONDS = 0.1
+
 _log = logging.getLogger(__name__)
 
 
@@ -44,6 +48,9 @@
         self._tasks = tasks
         self._rng = rng
         self._unreachable: set[VmAddress] = set()
+        self._push_lock = threading.Lock()
+        self._is_push_paused = False
+        self._has_unpushed_change = False
 
     def run(self) -> None:
         """Exchange messages with random peers until stopped."""
@@ -56,11 +63,20 @@
                 self.exchange_with(self._rng.choice(peers))
 
     def push_to_peers(self) -> None:
-        """Send the state of this VM to several random peers at once."""
+        """Send the state of this VM to several random peers at once.
+
+        Changes that follow within a short time are pushed together after it.
+        """
+        with self._push_lock:
+            if self._is_push_paused:
+                self._has_unpushed_change = True
+                return
+            self._is_push_paused = True
         peers = self.messages.membership.peers()
         chosen = self._rng.sample(peers, min(len(peers), PUSH_FANOUT))
         for address in chosen:
             self._tasks.start(partial(self._exchange_once, address))
+        self._tasks.start(self._end_push_pause)
 
     def answer(self, message: bytes) -> tuple[int, bytes]:
         """Apply a message of another VM and return the reply.
@@ -97,6 +113,15 @@
             _log.info('VM reached again', extra={'vm': address})
         return True
 
+    def _end_push_pause(self) -> None:
+        self._tasks.stopping.wait(PUSH_PAUSE_SECONDS)
+        with self._push_lock:
+            has_unpushed_change = self._has_unpushed_change
+            self._has_unpushed_change = False
+            self._is_push_paused = False
+        if has_unpushed_change and not self._tasks.stopping.is_set():
+            self.push_to_peers()
+
     def _exchange_once(self, address: VmAddress) -> None:
         self.exchange_with(address)
 
