Set the stop event outside the signal handler

The handler runs in the main thread and called Event.set(), which takes the lock that this thread holds inside Event.wait(): it waits for itself for ever. Dumped stacks had lacked just that thread.

Now the handler writes to a pipe and a thread sets the events, in basilwall serve, entry, demo and the stand-ins; the same for the second signal, which ends the wait for the balancer.

--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -4,7 +4,6 @@
 usage.
 """
 
-import signal
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -24,6 +23,7 @@
     fetch_status,
 )
 from basilwall.operators.status_table import print_status
+from basilwall.parts.stop_signals import set_on_stop_signals
 from basilwall.platform.node import read_node_file
 from basilwall.settings.current import SettingsError
 from basilwall.settings.model import load_settings
@@ -55,7 +55,7 @@
 ) -> None:
     """Run one VM until SIGTERM, then stop without cutting off a request."""
     stop_requested, skip_balancer_wait = threading.Event(), threading.Event()
-    _request_stop_on_signals(stop_requested, skip_balancer_wait)
+    set_on_stop_signals(stop_requested, skip_balancer_wait)
     try:
         loaded = load_settings(settings)
         set_up_logs(loaded.log_level)
@@ -89,7 +89,7 @@
     stop_requested, skip_balancer_wait = threading.Event(), threading.Event()
     set_up_logs('ERROR')
     if stay:
-        _request_stop_on_signals(stop_requested, skip_balancer_wait)
+        set_on_stop_signals(stop_requested, skip_balancer_wait)
     with demo_vm(port) as vm:
         run_demo(vm, typer.echo)
         if stay:
@@ -149,23 +149,3 @@
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
     typer.echo(f'{path}: good')
-
-
-def _request_stop_on_signals(
-    stop_requested: threading.Event,
-    skip_balancer_wait: threading.Event,
-) -> None:
-    """Make SIGTERM and SIGINT request a stop.
-
-    Args:
-        stop_requested: Set by the first signal.
-        skip_balancer_wait: Set by each further signal.
-    """
-
-    def handle_signal(*_: object) -> None:
-        if stop_requested.is_set():
-            skip_balancer_wait.set()
-        stop_requested.set()
-
-    signal.signal(signal.SIGTERM, handle_signal)
-    signal.signal(signal.SIGINT, handle_signal)
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -42,6 +42,7 @@
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.quarantine import Quarantine, count_quarantined
 from basilwall.parts.revisions import RevisionRegister
+from basilwall.parts.stop_signals import set_on_stop_signals
 from basilwall.parts.tasks import TaskGroup, task_group
 from basilwall.platform.codec import StoreValueReader
 from basilwall.platform.node import read_node_file, settings_path
@@ -136,10 +137,9 @@
 def main() -> None:
     """Run the entry VM of this process until SIGTERM."""
     stop_requested = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
-    signal.signal(signal.SIGINT, lambda *_: stop_requested.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
     threading.stack_size(THREAD_STACK_BYTES)
+    set_on_stop_signals(stop_requested)
+    signal.signal(signal.SIGHUP, lambda *_: None)
     sys.setswitchinterval(THREAD_SWITCH_INTERVAL_SECONDS)
     with logging_to_stdout('INFO') as logs:
         try:
--- a/basilwall/standin/commands.py
+++ b/basilwall/standin/commands.py
@@ -1,11 +1,11 @@
 """Commands that run stand-ins in separate processes."""
 
-import signal
 import threading
 from typing import Annotated
 
 import typer
 
+from basilwall.parts.stop_signals import set_on_stop_signals
 from basilwall.standin.deployment import (
     HOST,
     SHAPES_BY_DEPLOYMENT,
@@ -69,6 +69,5 @@
 
 def _make_stop_event() -> threading.Event:
     stop_requested = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
-    signal.signal(signal.SIGINT, lambda *_: stop_requested.set())
+    set_on_stop_signals(stop_requested)
     return stop_requested
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -217,14 +217,14 @@
         store = MetadataStore(ports[0])
         store.start()
         stack.callback(store.stop)
-        node_file = _node_file(folder, ports)
-        stage = Stage(store, node_file, ports[1], ports[2])
+        settings_file = node_file(folder, ports)
+        stage = Stage(store, settings_file, ports[1], ports[2])
         free = iter(ports[5:])
         store.put('op/config', table())
         for number, service in enumerate(services):
             for zone in ZONES:
                 _add_searcher(stage, stack, service, zone, next(free), number)
-        current = CurrentSettings(node_file, read_node_file)
+        current = CurrentSettings(settings_file, read_node_file)
         stage.vm = stack.enter_context(running_entry(current))
         wait_until(lambda: _is_ready(stage.ready))
         yield stage
@@ -250,8 +250,8 @@
         way = Forwarder(ports[5], stage.store.address)
         stack.callback(way.close)
         seed = json.loads(stage.node_file.read_text())['listen']['control']
-        node_file = _node_file(folder, [ports[5], *ports[1:5]], seed)
-        current = CurrentSettings(node_file, read_node_file)
+        settings_file = node_file(folder, [ports[5], *ports[1:5]], seed)
+        current = CurrentSettings(settings_file, read_node_file)
         stack.enter_context(running_entry(current))
         wait_until(lambda: _is_ready(ports[2]))
         yield OtherVm(ports[1], way)
@@ -279,7 +279,8 @@
     return f'127.0.{number // 256}.{number % 256}'
 
 
-def _node_file(folder, ports, seed=None):
+def node_file(folder, ports, seed=None):
+    """Write the settings of a VM, and return the path of the file."""
     content = {
         'node': 'vm-1',
         'ip': _metrics_host(ports),
