--- a/basilwall/fleet/gossip_messages_test.py
+++ b/basilwall/fleet/gossip_messages_test.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basilwall.fleet.gossip_messages import GossipMessages, TellingError
+from basilwall.fleet.gossip_messages import (
+    MAX_CONTENTS,
+    GossipMessages,
+    TellingError,
+)
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.quarantine import Quarantine, Suspicion
@@ -16,8 +20,8 @@
 CONTENT = 'content'
 
 
-def make(name, seeds=()):
-    clock = ManualClock()
+def make(name, seeds=(), clock=None):
+    clock = clock or ManualClock()
     return GossipMessages(
         Membership(Member(f'10.0.0.{name}:1', f'life-{name}'), clock, seeds),
         Quarantine(clock),
@@ -64,6 +68,28 @@
     assert other.quarantine.suspicion_of(CONTENT) is not Suspicion.QUARANTINED
 
 
+def test_a_vm_that_learns_late_counts_each_crash_at_one_address():
+    clock = ManualClock()
+    early, late = make(1, clock=clock), make(2)
+    for number in range(2):
+        strike = Strike(f'incident-{number}', 's-1:1', Evidence.DIED)
+        early.quarantine.strike(CONTENT, [strike])
+        clock.advance(10)
+    exchange(late, early)
+    assert late.quarantine.suspicion_of(CONTENT) is Suspicion.QUARANTINED
+
+
+def test_strikes_of_an_outage_do_not_hide_a_crashing_content():
+    first, second = make(1), make(2)
+    for number in range(2):
+        record_death(first, number)
+    for number in range(3 * MAX_CONTENTS):
+        strike = Strike(f'other-{number}', f'o-{number}', Evidence.DIED)
+        first.quarantine.strike(f'beside-{number}', [strike])
+    exchange(second, first)
+    assert second.quarantine.suspicion_of(CONTENT) is Suspicion.QUARANTINED
+
+
 @given(st.binary(max_size=300))
 def test_random_bytes_are_rejected_without_effect(random_bytes):
     messages = make(1)
--- a/tests/links_lost_test.py
+++ b/tests/links_lost_test.py
@@ -10,6 +10,7 @@
 from basilwall.backend.probe import find_dead
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.standin.platform_searcher import Behaviour
+from tests.crashing_stage import restarts
 from tests.entry_stage import (
     ROUTES,
     ask,
@@ -224,3 +225,23 @@
         answer = read_to_end(connection)
     assert status_of(answer) == 502
     assert b'retry-after' in split(answer)[0]
+
+
+def test_a_relayed_content_that_crashes_searchers_is_quarantined(pair):
+    stage, links = pair
+    with restarts(stage) as restarting:
+        lose_links(stage, links, Link.RESET)
+        # The VM under test must learn of crashes that it does not see.
+        for number in range(10):
+            answer = ask(stage.caller, request('/one/crashing', f'c-{number}'))
+            time.sleep(0.7)
+        assert len(restarting.ended) <= 4
+        assert status_of(answer) == 503
+        assert float(split(answer)[0][b'retry-after']) > 10
+        innocent = request('/one/innocent', 'innocent')
+        wait_until(lambda: status_of(ask(stage.caller, innocent)) == 200)
+        ended = len(restarting.ended)
+        links.state = Link.WORKING
+        wait_until(lambda: stage.verdicts(request('/all/x')) == ['answered'])
+        ask(stage.caller, request('/one/crashing', 'back'))
+        assert len(restarting.ended) == ended
