Check the window budget's bound when an extra attempt is sent

The number of extra attempts in a window rises only when one is sent, so the check at each sent one sees each peak; a refused one must still be justified by the other check.

--- a/basilwall/parts/window_budget_test.py
+++ b/basilwall/parts/window_budget_test.py
@@ -37,8 +37,10 @@
         # A step is forgotten as a whole, up to its length later.
         began = now - WINDOW - STEP
         first = len([one for one in self.first_at if one >= began])
-        assert extra <= FRACTION * first + SLACK
-        if not sent and not reserve:
+        # The first attempts that paid for earlier ones may be forgotten since.
+        if sent:
+            assert extra <= FRACTION * first + SLACK
+        elif not reserve:
             least = len([one for one in self.first_at if one > now - WINDOW])
             most = len([one for one in self.extra_at if one >= began])
             assert most + 1 > FRACTION * least + SLACK
@@ -56,6 +58,16 @@
 TestWindow = WindowMachine.TestCase
 
 
+def test_an_extra_attempt_is_refused_after_its_first_attempts_are_forgotten():
+    clock = ManualClock()
+    budget = WindowBudget(FRACTION, SLACK, WINDOW, clock)
+    budget.earn(4)
+    clock.advance(8)
+    assert sum(budget.spend() for _ in range(5)) == 4
+    clock.advance(3)
+    assert not budget.spend()
+
+
 def test_the_slack_comes_back_as_the_window_moves_on():
     clock = ManualClock()
     budget = WindowBudget(0, 2, WINDOW, clock)
