--- a/basilwall/parts/handovers.py
+++ b/basilwall/parts/handovers.py
@@ -20,12 +20,12 @@
     Ticket,
 )
 
-#: Stopped VMs whose outcomes are kept; the oldest is evicted first.
-MAX_HANDOVERS = 64
-#: Total size of the outcomes kept; the oldest handover is evicted first.
+#: Total size of the handovers kept; the oldest one is evicted first.
 MAX_BYTES = 33_554_432
-#: Memory that one outcome takes besides its body.
+#: Memory that one outcome takes besides its body, and one handover besides
+#: its outcomes.
 OUTCOME_OVERHEAD_BYTES = 512
+HANDOVER_OVERHEAD_BYTES = 2048
 UNKNOWN = OrderOutcome(OrderState.UNKNOWN, OrderReason.OWNER_RESTARTED)
 STOPPED = OrderOutcome(OrderState.NOT_RUN, OrderReason.STOPPED)
 OTHER_CONTENT = OrderOutcome(OrderState.REJECTED, OrderReason.OTHER_CONTENT)
@@ -61,8 +61,8 @@
 
     @property
     def size_bytes(self) -> int:
-        """The memory that the outcomes take, in bytes."""
-        return sum(
+        """The memory that the handover takes, in bytes."""
+        return HANDOVER_OVERHEAD_BYTES + sum(
             OUTCOME_OVERHEAD_BYTES + len(handed_outcome.outcome.body)
             for handed_outcome in self.handed_by_number.values()
         )
@@ -104,7 +104,7 @@
                 if kept.expires_at > now
             }
             self._by_incarnation[handover.incarnation] = handover
-            while self._is_too_large():
+            while _total_size(self._by_incarnation.values()) > MAX_BYTES:
                 self._by_incarnation.pop(next(iter(self._by_incarnation)))
 
     def all_handovers(self) -> list[Handover]:
@@ -149,12 +149,6 @@
             return None
         return handover
 
-    def _is_too_large(self) -> bool:
-        handovers = self._by_incarnation.values()
-        return (
-            len(handovers) > MAX_HANDOVERS or _total_size(handovers) > MAX_BYTES
-        )
-
 
 def _total_size(handovers: Iterable[Handover]) -> int:
     return sum(handover.size_bytes for handover in handovers)
--- a/basilwall/parts/handovers_test.py
+++ b/basilwall/parts/handovers_test.py
@@ -100,7 +100,8 @@
 def test_the_oldest_handover_is_evicted_at_the_size_limit(
     handovers, clock, monkeypatch
 ):
-    monkeypatch.setattr(module, 'MAX_BYTES', 3 * module.OUTCOME_OVERHEAD_BYTES)
+    one = module.HANDOVER_OVERHEAD_BYTES + module.OUTCOME_OVERHEAD_BYTES
+    monkeypatch.setattr(module, 'MAX_BYTES', 3 * one)
     for number in range(4):
         handovers.store(
             make_handover(clock, {'1': RAN}, incarnation=f'i{number}')
@@ -109,3 +110,11 @@
         'i2',
         'i3',
     ]
+
+
+def test_many_stops_within_a_tickets_lifetime_lose_no_outcome(handovers, clock):
+    handovers.store(make_handover(clock, {'1': RAN}))
+    for number in range(200):
+        stopped = make_handover(clock, {}, incarnation=f'later-{number}')
+        handovers.store(stopped)
+    assert state_of(handovers, '1') is OrderState.RAN
