--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from basilwall.standin.platform_searcher import Behaviour
 from soak.deployment import LimitSpan
@@ -31,9 +32,8 @@
     Behaviour.UNFRAMED,
     Behaviour.SILENT,
     Behaviour.UNAVAILABLE,
-    Behaviour.ENDLESS_HEAD,
-    Behaviour.ENDLESS_BODY,
 )
+LATER_BEHAVIOURS = (Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY)
 #: Limits that searchers name, in requests per second.
 RATE_LIMITS = (0, 0.5, 5, 40)
 #: The time that the platform gives a process to stop gracefully.
@@ -41,6 +41,17 @@
 MAX_RESERVED_VMS = 2
 
 
+class FaultSet(Enum):
+    """The unplanned faults that a seed draws from.
+
+    A seed draws other faults once there are more kinds of them, so one that
+    failed keeps the set that it failed with.
+    """
+
+    FIRST = 'first'
+    ALL = 'all'
+
+
 @dataclass
 class Event:
     """One action, for the log of a seed; `at` in seconds since the start."""
@@ -52,7 +63,7 @@
 class FaultInjector:
     """Runs randomly drawn actions against a deployment."""
 
-    def __init__(self, deployment, seed, planned_only):
+    def __init__(self, deployment, seed, planned_only, fault_set=FaultSet.ALL):
         self.events = []
         self.errors = []
         self._deployment = deployment
@@ -74,10 +85,12 @@
             self._disrupt_searcher_connections,
             self._change_searcher_behaviour,
             self._change_searcher_behaviour,
-            self._limit_searcher,
             self._compact_store_history,
-            self._restore_store,
         ]
+        self._behaviours = FAULTY_BEHAVIOURS
+        if fault_set is FaultSet.ALL:
+            unplanned += [self._limit_searcher, self._restore_store]
+            self._behaviours += LATER_BEHAVIOURS
         self._actions: list[Callable] = planned
         if not planned_only:
             self._actions = planned + unplanned
@@ -194,7 +207,7 @@
 
     def _change_searcher_behaviour(self):
         searcher = self._rng.choice(self._deployment.searchers)
-        conduct = self._rng.choice(FAULTY_BEHAVIOURS)
+        conduct = self._rng.choice(self._behaviours)
         self._record_event(f'{searcher.searcher_id} {conduct.value}')
         end_disturbance = self._deployment.disturbances.begin('searchers')
         searcher.behaviour = conduct
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 from soak.callers import Balancer, Caller
 from soak.checks import RouteTableProbe, find_violations
 from soak.deployment import running_deployment
-from soak.faults import FaultInjector
+from soak.faults import FaultInjector, FaultSet
 
 CALLER_COUNT = 6
 DEFAULT_VM_COUNT = 3
@@ -31,13 +31,14 @@
     folder: str
 
 
-def run_seed(seed, seconds=10, vms=DEFAULT_VM_COUNT):
+def run_seed(seed, seconds=10, vms=DEFAULT_VM_COUNT, fault_set=FaultSet.ALL):
     """Run one seed; each third seed has planned operations only.
 
     Args:
         seed: Seeds all random draws; a multiple of 3 injects no faults.
         seconds: Time for which actions are started.
         vms: Number of VMs.
+        fault_set: The faults to draw from.
 
     Returns:
         The request counts, the events and the violations.
@@ -63,7 +64,7 @@
         ]
         for thread in threads:
             thread.start()
-        injector = FaultInjector(deployment, seed, planned_only)
+        injector = FaultInjector(deployment, seed, planned_only, fault_set)
         injector.run(seconds)
         time.sleep(FINAL_CHECK_SECONDS)
         stop_requested.set()
