--- a/soak/faults.py
+++ b/soak/faults.py
@@ -49,6 +49,7 @@
     """
 
     FIRST = 'first'
+    WITH_RESTORES = 'with_restores'
     ALL = 'all'
 
 
@@ -85,11 +86,12 @@
             self._disrupt_searcher_connections,
             self._change_searcher_behaviour,
             self._change_searcher_behaviour,
+            *([self._limit_searcher] if fault_set is FaultSet.ALL else ()),
             self._compact_store_history,
+            *(() if fault_set is FaultSet.FIRST else [self._restore_store]),
         ]
         self._behaviours = FAULTY_BEHAVIOURS
         if fault_set is FaultSet.ALL:
-            unplanned += [self._limit_searcher, self._restore_store]
             self._behaviours += LATER_BEHAVIOURS
         self._actions: list[Callable] = planned
         if not planned_only:
