Let a third of the soak's seeds repeat a content under which searchers end

Searchers end when they run it, refuse connections, and come back 1 to 3 s later under another id at the same address, while VMs are killed, paused and stopped, connections are cut and the store comes back from copies. The soak counts repeats that reach searchers as the users do: more than three, later than 5 s after the third has ended, at VMs not disturbed.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -152,6 +152,23 @@
         self.list_searcher(searcher, 'ready')
         return searcher
 
+    def restart_searcher(self, ended):
+        """Start a searcher that ended, under another id at its address."""
+        with self.lock:
+            service, zone, _ = ended.searcher_id.split('.')
+            searcher_id = f'{service}.{zone}.{len(self.searchers)}'
+            searcher = PlatformSearcherStandIn(
+                ended.address, searcher_id, [ended.body], 0.004
+            )
+            searcher.crash.content = ended.crash.content
+            searcher.start()
+            proxy = self.proxy_by_id[ended.searcher_id]
+            self.proxy_by_id[searcher_id] = proxy
+            proxy.listen()
+            self.searchers.append(searcher)
+            self.store.remove(f'servers/{ended.searcher_id}')
+            self.list_searcher(searcher, 'ready')
+
     def list_searcher(self, searcher, state):
         """Write the entry of a searcher to the store."""
         service, zone, _ = searcher.searcher_id.split('.')
@@ -182,7 +199,7 @@
         with self.lock:
             self.store.restore(copy)
             self._write_route_table()
-            for searcher in self.searchers:
+            for searcher in self.live_searchers():
                 has_drained = searcher.searcher_id in self.drained_at
                 self.list_searcher(
                     searcher, 'draining' if has_drained else 'ready'
@@ -194,6 +211,10 @@
             'op/config', table(self.table_version, [*ROUTES, version_route])
         )
 
+    def live_searchers(self):
+        """Return the searchers whose process has not ended."""
+        return [one for one in self.searchers if not one.crash.has_ended]
+
     def rewrite_settings(self, vm):
         """Rewrite the settings file of a VM without changing a setting."""
         settings = json.loads(vm.node_file.read_text())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -263,7 +263,7 @@
         with self._deployment.lock:
             active_searchers = [
                 candidate
-                for candidate in self._deployment.searchers
+                for candidate in self._deployment.live_searchers()
                 if candidate.searcher_id not in self._deployment.drained_at
             ]
             searcher = self._rng.choice(active_searchers)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -37,8 +37,20 @@
         self.mode = ProxyMode.PASS
         self._target = target
         self._pairs = set()
-        self._listener = socket.create_server(address, backlog=BACKLOG)
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listen()
+
+    def listen(self):
+        """Accept connections, again after `stop_listening`."""
+        self._listener = socket.create_server(self.address, backlog=BACKLOG)
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def stop_listening(self):
+        """Refuse new connections."""
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
 
     def set_mode(self, mode):
         """Set the mode of all open and new connections."""
@@ -49,16 +61,14 @@
 
     def close(self):
         """Stop listening and reset all connections."""
-        with suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self.stop_listening()
         for pair in tuple(self._pairs):
             _reset_both(pair)
 
-    def _accept(self):
+    def _accept(self, listener):
         while True:
             try:
-                client, _ = self._listener.accept()
+                client, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 
 from soak.callers import Balancer, Caller
 from soak.checks import RouteTableProbe, find_violations
+from soak.crashes import CrashingCaller
 from soak.deployment import running_deployment
 from soak.faults import FaultInjector, FaultSet
 
@@ -34,6 +35,8 @@
 def run_seed(seed, seconds=10, vms=DEFAULT_VM_COUNT, fault_set=FaultSet.ALL):
     """Run one seed; each third seed has planned operations only.
 
+    Another third has a request content under which searchers end.
+
     Args:
         seed: Seeds all random draws; a multiple of 3 injects no faults.
         seconds: Time for which actions are started.
@@ -58,9 +61,13 @@
             for number in range(CALLER_COUNT)
         ]
         probe = RouteTableProbe(deployment, failures)
+        crashing = [
+            CrashingCaller(deployment, balancer, seed)
+            for _ in range(seed % 3 == 1 and fault_set is FaultSet.ALL)
+        ]
         threads = [
             threading.Thread(target=worker.run, args=(stop_requested,))
-            for worker in (*callers, probe)
+            for worker in (*callers, *crashing, probe)
         ]
         for thread in threads:
             thread.start()
@@ -72,6 +79,8 @@
             thread.join()
         violations = [*failures, *injector.errors]
         violations += find_violations(deployment, callers, planned_only)
+        for caller in crashing:
+            violations += caller.violations()
     requests = [
         request for caller in callers for request in caller.sent_requests
     ]
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -11,6 +11,8 @@
 #: Shorter than the default of `python -m soak`, as CI shares few cores.
 SHORT_SECONDS = 6
 FULL_SECONDS = 10
+#: Some seconds after the third crash count, so such seeds take longer.
+CRASHING_SECONDS = 14
 
 
 @pytest.mark.parametrize(
@@ -28,6 +30,8 @@
         (108, FULL_SECONDS, FaultSet.FIRST),
         # A signal to stop was lost as the main thread began to wait.
         (914, FULL_SECONDS, FaultSet.WITH_RESTORES),
+        # A content under which searchers ended was never refused.
+        (3001, CRASHING_SECONDS, FaultSet.ALL),
     ],
 )
 def test_soak_run_has_no_violations(seed, seconds, fault_set):
