Count the callers' time of a planned stop from the request to stop

The callers of the test went on for 2.5 s after it had seen the VM unready; a VM accepts for 3 s from the request to stop, so on a busy machine they called a VM that had rightly gone. Now 2.5 s count from the request.

--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -363,10 +363,13 @@
         for caller in callers:
             caller.start()
         time.sleep(0.5)
+        stopped_at = time.monotonic()
         stopped = threading.Thread(target=stage.vm.stop)
         stopped.start()
         wait_until(lambda: status_of(ask(stage.ready, READY)) == 503)
-        time.sleep(2.5)
+        # The balancer sends callers on for less than the VM waits for it,
+        # which is 3 s from the request to stop.
+        time.sleep(max(stopped_at + 2.5 - time.monotonic(), 0))
         stopping.set()
         for thread in (*callers, stopped):
             thread.join()
