Hold no request for a recent loss, and check links within the limit of probes

Losses of the last 3 s kept their requests with bodies, and an outage could queue a probe of this VM's links for each loss that it excuses, beyond the eight classifications at a time.

--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -169,6 +169,8 @@
     def _run_classification(self, loss: _Loss) -> None:
         try:
             evidence = self._classify(loss)
+            if evidence is Evidence.SPARED:
+                self._check_links()
         finally:
             self._classification_slots.release()
         _log.warning(
@@ -180,8 +182,6 @@
         )
         if evidence is Evidence.DIED:
             self._strike(loss)
-        elif evidence is Evidence.SPARED:
-            self._check_links()
 
     def _classify(self, loss: _Loss) -> Evidence:
         return self._loss_classifier.classify(
@@ -217,24 +217,29 @@
     """The searchers that were lost lately, by the content that they ran."""
 
     def __init__(self) -> None:
-        self._losses: deque[_Loss] = deque()
+        # Times, contents and searchers; a whole loss would hold its request.
+        self._losses: deque[tuple[float, Fingerprint, SearcherAddress]] = (
+            deque()
+        )
         self._lock = threading.Lock()
 
     def add(self, loss: _Loss) -> None:
         """Record a loss, and forget those that are no longer recent."""
         oldest_kept = loss.lost_at - SAME_CRASH_SECONDS
         with self._lock:
-            self._losses.append(loss)
-            while self._losses[0].lost_at < oldest_kept:
+            self._losses.append(
+                (loss.lost_at, loss.content, loss.searcher.address)
+            )
+            while self._losses[0][0] < oldest_kept:
                 self._losses.popleft()
 
     def searchers_of(self, content: Fingerprint) -> set[SearcherAddress]:
         """Return the searchers lost under a content."""
         with self._lock:
             return {
-                loss.searcher.address
-                for loss in self._losses
-                if loss.content == content
+                searcher
+                for _, lost_content, searcher in self._losses
+                if lost_content == content
             }
 
 
