Heed a signal to stop that the system gives to another thread

So the main thread had not been woken: Python runs handlers there only, and a process's signal may be given to any thread, which does not end the main thread's wait for a lock.

The interpreter itself now writes each signal to the pipe (set_wakeup_fd), whichever thread gets it, and the thread that reads it sets the events. tests/stop_signal_test.py gives the signal to another thread in the three programs: none ended within 30 s before, all do now.

--- a/basilwall/parts/stop_signals.py
+++ b/basilwall/parts/stop_signals.py
@@ -1,19 +1,18 @@
-"""Sets events on SIGTERM and SIGINT without taking a lock in the handler.
+"""Sets events on SIGTERM and SIGINT, whatever the main thread does.
 
-A signal handler runs in the main thread at any point, also while that thread
-holds the lock of the event that it is about to wait for. To set the event there
-would wait for that lock for ever. So the handler only writes to a pipe, and a
-thread that reads from it sets the events.
+Python runs signal handlers in the main thread. There it may hold the lock of
+the event that it is about to wait for, which a handler would wait for for ever;
+and while it waits for a lock, a signal that the system gives to another thread
+does not wake it. So the interpreter writes the number of each signal to a pipe
+at once, and a thread that reads from the pipe sets the events.
 """
 
 import os
 import signal
 import threading
 from collections.abc import Sequence
-from functools import partial
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-_ONE_SIGNAL = b'\0'
+STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
 
 
 def set_on_stop_signals(*events: threading.Event) -> None:
@@ -24,23 +23,21 @@
     """
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
+    signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
     threading.Thread(
         target=_set_events, args=(reader, events), daemon=True
     ).start()
     for stop_signal in STOP_SIGNALS:
-        signal.signal(stop_signal, partial(_report, writer))
+        signal.signal(stop_signal, _ignore_signal)
 
 
-def _report(writer: int, *_: object) -> None:
-    try:
-        os.write(writer, _ONE_SIGNAL)
-    except BlockingIOError:
-        # As many signals as the pipe holds are unread; one more adds nothing.
-        return
+def _ignore_signal(*_: object) -> None:
+    """Do nothing: the pipe reports the signal."""
 
 
 def _set_events(reader: int, events: Sequence[threading.Event]) -> None:
-    signals = 0
-    while os.read(reader, 1):
-        events[min(signals, len(events) - 1)].set()
-        signals += 1
+    stop_requests = 0
+    while number := os.read(reader, 1):
+        if ord(number) in STOP_SIGNALS:
+            events[min(stop_requests, len(events) - 1)].set()
+            stop_requests += 1
