--- a/basilwall/backend/probe_test.py
+++ b/basilwall/backend/probe_test.py
@@ -1,9 +1,12 @@
 """Probes of searchers that refuse, accept, close or say nothing."""
 
 import socket
+import struct
 import threading
 import time
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
+
+import pytest
 
 from basilwall.backend.probe import find_refusing
 
@@ -16,11 +19,14 @@
         yield listener, '{}:{}'.format(*listener.getsockname())
 
 
-def close_all(listener, count):
-    """Accept connections and close them, as a full searcher does."""
-    for _ in range(count):
-        accepted, _ = listener.accept()
-        accepted.close()
+def end_all(listener, has_reset):
+    """Accept connections and close or reset them, as a full searcher does."""
+    linger = struct.pack('ii', int(has_reset), 0)
+    with suppress(OSError):
+        while True:
+            accepted, _ = listener.accept()
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            accepted.close()
 
 
 def test_a_closed_port_refuses():
@@ -34,13 +40,14 @@
         assert not find_refusing([address], WINDOW_SECONDS)
 
 
-def test_a_searcher_that_closes_each_connection_has_not_ended():
+@pytest.mark.parametrize('has_reset', [False, True])
+def test_a_searcher_that_ends_each_connection_has_not_ended(has_reset):
     with listening() as (listener, address):
-        closing = threading.Thread(
-            target=close_all, args=(listener, 100), daemon=True
-        )
-        closing.start()
-        assert not find_refusing([address], WINDOW_SECONDS)
+        threading.Thread(
+            target=end_all, args=(listener, has_reset), daemon=True
+        ).start()
+        for _ in range(5):
+            assert not find_refusing([address], WINDOW_SECONDS)
 
 
 def test_a_process_that_ends_during_the_probe_refuses():
--- a/basilwall/forwarding/crash_detection_test.py
+++ b/basilwall/forwarding/crash_detection_test.py
@@ -33,22 +33,25 @@
         self.quarantine = Quarantine(self.clock, moment_seconds=MOMENT_SECONDS)
         self.dead = set()
         self._others = others
+        self._addresses = set(others)
+        self._classifier = LossClassifier(
+            lambda _: self._addresses,
+            self.clock,
+            random.Random(1),
+            self.probe,
+        )
 
     def probe(self, addresses, _):
         return set(addresses) & self.dead
 
     def note(self, *outcomes):
         """Record attempts that end at the same time."""
-        addresses = [*self._others, *{one.address for _, one, _ in outcomes}]
+        lost = {one.address for _, one, _ in outcomes}
+        self._addresses = {*self._others, *lost}
         with task_group('test') as tasks:
             detector = ProbingCrashDetector(
                 self.quarantine,
-                LossClassifier(
-                    lambda _: addresses,
-                    self.clock,
-                    random.Random(1),
-                    self.probe,
-                ),
+                self._classifier,
                 tasks,
                 f'vm-{self.clock.monotonic()}',
                 self.clock,
