Probe lost and other searchers together again where a searcher is judged by any failure

Entry VMs, whose first probe is one connect, keep the order. The golden test reads strikes by their new name and is otherwise as it was.

--- a/basilwall/backend/loss_classifier.py
+++ b/basilwall/backend/loss_classifier.py
@@ -52,14 +52,14 @@
             clock: Dates deaths.
             rng: Draws the order in which searchers are probed.
             probe: Returns which of some searchers are not reached.
-            probe_lost: Returns which of some lost searchers have ended; None
-                if those that are not reached have.
+            probe_lost: Returns which of some lost searchers have ended, before
+                others are probed; None if those that are not reached have.
         """
         self._list_searchers = list_searchers
         self._clock = clock
         self._salt = rng.random()
         self._probe = probe
-        self._probe_lost = probe_lost or probe
+        self._probe_lost = probe_lost
         self._dead_since: dict[SearcherAddress, float] = {}
         self._lock = threading.Lock()
 
@@ -86,7 +86,7 @@
             searchers died at the same time, or if none of them is reached;
             else DIED.
         """
-        if not self._has_ended(searcher):
+        if self._probe_lost and not self._is_found(self._probe_lost, searcher):
             return Evidence.LOST
         ineligible = {searcher, *find_excluded()}
         unrelated = self._choose_unrelated(
@@ -95,13 +95,18 @@
         unrelated.update(
             sorted(set(other_lost) - ineligible)[:MAX_UNRELATED_PROBED]
         )
-        dead = self._probe(unrelated, PROBE_SECONDS) if unrelated else set()
-        newly_dead = self._newly_dead({searcher, *unrelated}, {searcher, *dead})
+        dead = self._probe([searcher, *unrelated], PROBE_SECONDS)
+        newly_dead = self._newly_dead({searcher, *unrelated}, dead)
         unrelated.difference_update(find_excluded())
         is_outage = len(newly_dead & unrelated) >= MIN_UNRELATED_DEAD
         # Without any link to a searcher, this VM can't tell what ended one.
         has_no_links = bool(unrelated) and unrelated <= dead
-        return Evidence.SPARED if is_outage or has_no_links else Evidence.DIED
+        if is_outage or has_no_links:
+            return Evidence.SPARED
+        if self._probe_lost or searcher in dead:
+            return Evidence.DIED
+        has_died = self._probe([searcher], LONG_PROBE_SECONDS)
+        return Evidence.DIED if has_died else Evidence.LOST
 
     def note_alive(self, searcher: SearcherAddress) -> None:
         """Record that a searcher has answered."""
@@ -109,10 +114,10 @@
             with self._lock:
                 self._dead_since.pop(searcher, None)
 
-    def _has_ended(self, searcher: SearcherAddress) -> bool:
+    def _is_found(self, probe: Probe, searcher: SearcherAddress) -> bool:
         # A process that is ending may still accept connections for a moment.
         return any(
-            self._probe_lost([searcher], seconds)
+            probe([searcher], seconds)
             for seconds in (PROBE_SECONDS, LONG_PROBE_SECONDS)
         )
 
--- a/tests/crashes_golden_test.py
+++ b/tests/crashes_golden_test.py
@@ -39,7 +39,7 @@
         judged = self.vms[vm][1].suspicion_of(CONTENT_BY_BODY[body]).value
         self.log(f'vm-{vm}', 'answers' if answered else 'refuses', judged)
         for entry in self.vms[vm][0].entries():
-            for one in entry.strikes:
+            for one in self.vms[vm][0].aged_strikes(entry):
                 mark = entry.fingerprint[:6]
                 evidence = one.evidence.name.lower()
                 self.log(f'  strike {mark} {one.searcher} {evidence}')
