Take no living searcher for dead in a probe that was held up

A process that was held up for the 0.15 s of a probe of other searchers left its loop without a look at them, and took all that it had not seen connected for newly dead: an outage, which excuses the content. The new test holds the probe up and found a living searcher dead before.

Now each probe looks once more at its end. On entry VMs an outage is told by the sign that tells a death: others that refuse connections, not others that are slow to answer.

--- a/basilwall/backend/probe.py
+++ b/basilwall/backend/probe.py
@@ -2,14 +2,15 @@
 
 Health endpoints lag or report wrong states; a refused connection is reliable.
 All addresses are probed at once, so that searchers that died together are
-detected together.
+detected together. A process that was held up during a probe looks once more at
+its end, for connections that were established meanwhile.
 """
 
 import errno
 import select
 import socket
 import time
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 
 from basilwall.records.ids import SearcherAddress
@@ -18,6 +19,8 @@
 #: Time until an address that closed a connection is tried again.
 RETRY_SECONDS = 0.02
 
+Sockets = Mapping[SearcherAddress, socket.socket]
+
 
 def find_dead(
     addresses: Collection[SearcherAddress],
@@ -33,46 +36,78 @@
     Returns:
         The addresses of the dead searchers.
     """
-    ends_at = time.monotonic() + window
-    with ExitStack() as stack:
-        opened = {
-            address: stack.enter_context(_connecting(address))
-            for address in addresses
-        }
-        return _watch(opened, ends_at)
+    connecting = set(addresses)
+    dead: set[SearcherAddress] = set()
+    with _connecting_to(addresses) as sockets, _polling(sockets) as poller:
+        for address, events in _events(poller, sockets, window):
+            connecting.discard(address)
+            if events == select.POLLOUT:
+                poller.modify(sockets[address], select.POLLIN)
+                continue
+            dead.add(address)
+            poller.unregister(sockets[address])
+            if len(dead) == len(sockets):
+                break
+    return dead | connecting
 
 
 def find_refusing(
     addresses: Collection[SearcherAddress],
     window: float,
+) -> set[SearcherAddress]:
+    """Return the searchers whose host answers that nobody listens there.
+
+    One that stays silent is none of them: the link to it may be lost or slow.
+
+    Args:
+        addresses: The searchers.
+        window: Duration of the probe, in seconds, if one stays silent.
+    """
+    resolved: set[SearcherAddress] = set()
+    with _connecting_to(addresses) as sockets, _polling(sockets) as poller:
+        for address, _ in _events(poller, sockets, window):
+            resolved.add(address)
+            poller.unregister(sockets[address])
+            if len(resolved) == len(sockets):
+                break
+        return {found for found in resolved if _is_refused(sockets[found])}
+
+
+def find_ended(
+    addresses: Collection[SearcherAddress],
+    window: float,
 ) -> set[SearcherAddress]:
     """Return the searchers whose process has ended, on a host that answers.
 
-    A refused connection shows that. One that stays silent does not: the link
-    may be lost. Nor does one that is accepted and closed, as by a searcher that
-    has too many; but a process that ends closes what it accepted, so such an
-    address is tried again.
+    A refused connection shows that. One that is accepted and closed does not,
+    as by a searcher that has too many; but a process that ends closes what it
+    accepted, so such an address is tried again.
 
     Args:
         addresses: The searchers, which are probed one after another.
         window: Duration of the probe of each, in seconds.
     """
-    return {address for address in addresses if _is_refusing(address, window)}
+    return {address for address in addresses if _has_ended(address, window)}
 
 
-def _is_refusing(address: SearcherAddress, window: float) -> bool:
+def _has_ended(address: SearcherAddress, window: float) -> bool:
     ends_at = time.monotonic() + window
-    while time.monotonic() < ends_at:
-        with _connecting(address) as sock:
-            if not _wait(sock, select.POLLOUT, ends_at):
-                return False
-            failure = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if failure == errno.ECONNREFUSED:
+    while True:
+        is_last = time.monotonic() >= ends_at
+        with _connecting_to([address]) as sockets:
+            connected = sockets[address]
+            _wait(connected, select.POLLOUT, ends_at)
+            if _is_refused(connected):
                 return True
-            if not _wait(sock, select.POLLIN, ends_at):
-                return False
+            is_closed = _wait(connected, select.POLLIN, ends_at)
+        if is_last or not is_closed:
+            return False
         time.sleep(RETRY_SECONDS)
-    return False
+
+
+def _is_refused(sock: socket.socket) -> bool:
+    failure = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return failure == errno.ECONNREFUSED
 
 
 def _wait(sock: socket.socket, events: int, ends_at: float) -> bool:
@@ -83,27 +118,39 @@
     return bool(poller.poll(left_seconds * MS_PER_SECOND))
 
 
-def _watch(
-    socket_by_address: dict[SearcherAddress, socket.socket],
-    ends_at: float,
-) -> set[SearcherAddress]:
+@contextmanager
+def _polling(sockets: Sockets) -> Iterator['select.poll']:
     poller = select.poll()
-    address_by_descriptor: dict[int, SearcherAddress] = {}
-    for address, sock in socket_by_address.items():
-        address_by_descriptor[sock.fileno()] = address
+    for sock in sockets.values():
         poller.register(sock, select.POLLIN | select.POLLOUT)
-    connecting = set(socket_by_address)
-    dead: set[SearcherAddress] = set()
-    while time.monotonic() < ends_at and len(dead) < len(socket_by_address):
-        left_ms = max(ends_at - time.monotonic(), 0) * MS_PER_SECOND
-        for descriptor, events in poller.poll(left_ms):
-            connecting.discard(address_by_descriptor[descriptor])
-            if events == select.POLLOUT:
-                poller.modify(descriptor, select.POLLIN)
-                continue
-            dead.add(address_by_descriptor[descriptor])
-            poller.unregister(descriptor)
-    return dead | connecting
+    yield poller
+
+
+def _events(
+    poller: 'select.poll', sockets: Sockets, window: float
+) -> Iterator[tuple[SearcherAddress, int]]:
+    """Yield what happens to sockets until the window has passed."""
+    address_by_descriptor = {
+        sock.fileno(): address for address, sock in sockets.items()
+    }
+    ends_at = time.monotonic() + window
+    is_last = not sockets
+    while not is_last:
+        is_last = time.monotonic() >= ends_at
+        left_seconds = max(ends_at - time.monotonic(), 0)
+        for descriptor, events in poller.poll(left_seconds * MS_PER_SECOND):
+            yield address_by_descriptor[descriptor], events
+
+
+@contextmanager
+def _connecting_to(
+    addresses: Collection[SearcherAddress],
+) -> Iterator[Sockets]:
+    with ExitStack() as stack:
+        yield {
+            address: stack.enter_context(_connecting(address))
+            for address in addresses
+        }
 
 
 @contextmanager
--- a/basilwall/backend/probe_test.py
+++ b/basilwall/backend/probe_test.py
@@ -1,5 +1,6 @@
 """Probes of searchers that refuse, accept, close or say nothing."""
 
+import itertools
 import socket
 import struct
 import threading
@@ -8,14 +9,15 @@
 
 import pytest
 
-from basilwall.backend.probe import find_refusing
+from basilwall.backend.probe import find_dead, find_ended, find_refusing
 
 WINDOW_SECONDS = 0.2
+ALL_PROBES = (find_dead, find_ended, find_refusing)
 
 
 @contextmanager
-def listening():
-    with socket.create_server(('127.0.0.1', 0)) as listener:
+def listening(backlog=None):
+    with socket.create_server(('127.0.0.1', 0), backlog=backlog) as listener:
         yield listener, '{}:{}'.format(*listener.getsockname())
 
 
@@ -29,31 +31,54 @@
             accepted.close()
 
 
-def test_a_closed_port_refuses():
+@pytest.mark.parametrize('probe', ALL_PROBES)
+def test_a_closed_port_is_found(probe):
     with listening() as (listener, address):
         listener.close()
-    assert find_refusing([address], WINDOW_SECONDS) == {address}
+    assert probe([address], WINDOW_SECONDS) == {address}
 
 
-def test_a_searcher_that_accepts_does_not_refuse():
+@pytest.mark.parametrize('probe', ALL_PROBES)
+def test_a_searcher_that_accepts_is_not_found(probe):
     with listening() as (_, address):
-        assert not find_refusing([address], WINDOW_SECONDS)
+        assert not probe([address], WINDOW_SECONDS)
 
 
+@pytest.mark.parametrize('probe', ALL_PROBES)
+def test_a_probe_that_was_held_up_finds_no_living_searcher(probe, monkeypatch):
+    # The whole window passes between the connect and the first look.
+    clock = itertools.count()
+    monkeypatch.setattr('time.monotonic', lambda: next(clock))
+    with listening() as (_, address):
+        assert not probe([address], WINDOW_SECONDS)
+
+
+@pytest.mark.parametrize('probe', [find_ended, find_refusing])
 @pytest.mark.parametrize('has_reset', [False, True])
-def test_a_searcher_that_ends_each_connection_has_not_ended(has_reset):
+def test_a_searcher_that_ends_each_connection_has_not_ended(has_reset, probe):
     with listening() as (listener, address):
         threading.Thread(
             target=end_all, args=(listener, has_reset), daemon=True
         ).start()
         for _ in range(5):
-            assert not find_refusing([address], WINDOW_SECONDS)
+            assert not probe([address], WINDOW_SECONDS)
+
+
+@pytest.mark.parametrize('probe', [find_ended, find_refusing])
+def test_a_searcher_that_stays_silent_has_not_ended(probe):
+    with listening(backlog=0) as (listener, address), suppress(OSError):
+        # The queue of connections is full, so that no further one is answered.
+        queued = [socket.socket() for _ in range(3)]
+        for connection in queued:
+            connection.setblocking(False)
+            connection.connect_ex(listener.getsockname())
+        assert not probe([address], WINDOW_SECONDS)
 
 
-def test_a_process_that_ends_during_the_probe_refuses():
+def test_a_process_that_ends_during_the_probe_is_found():
     with listening() as (listener, address):
         ending = threading.Timer(WINDOW_SECONDS / 2, listener.close)
         ending.start()
         started_at = time.monotonic()
-        assert find_refusing([address], 5) == {address}
+        assert find_ended([address], 5) == {address}
         assert time.monotonic() - started_at < 2
--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -6,7 +6,11 @@
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier
-from basilwall.backend.probe import find_dead, find_refusing
+from basilwall.backend.probe import (
+    find_dead,
+    find_ended,
+    find_refusing,
+)
 from basilwall.fleet.entry_fleet import Fleet
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.connection_pools import ConnectionPools
@@ -177,8 +181,8 @@
             routing_state.all_addresses,
             clock,
             rng,
-            find_dead,
             find_refusing,
+            find_ended,
         ),
         fleet.tasks,
         fleet.membership.own.incarnation,
