Check the window budget's bound also when an extra attempt is refused

The bound then counts the first attempts of the window before as well, as the users' rule does: the check of sent attempts alone could not see a budget that let extra attempts in by another way.

--- a/basilwall/parts/window_budget_test.py
+++ b/basilwall/parts/window_budget_test.py
@@ -37,7 +37,9 @@
         # A step is forgotten as a whole, up to its length later.
         began = now - WINDOW - STEP
         first = len([one for one in self.first_at if one >= began])
-        # The first attempts that paid for earlier ones may be forgotten since.
+        # The first attempts that paid for them may have left the window since.
+        paying = [one for one in self.first_at if one >= began - WINDOW]
+        assert extra <= FRACTION * len(paying) + SLACK
         if sent:
             assert extra <= FRACTION * first + SLACK
         elif not reserve:
