Choose readers of the store by region, and let a new VM learn of them first

What callers saw: nothing; the users paid.

Cause: a zone of up to four VMs let all of them read, whatever the size of its region. And a VM that starts knows no other, so it reads each group of changes while searchers register: eight reads a VM in the first four seconds.

Ruled out: readers for all regions together (bytes between regions cost most); fewer watches without changes, as the age of what a reader knows is bounded by them.

The test of zones that share readers fails with readers by zone.

--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -34,6 +34,18 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class WatchIntervals:
+    """The times between two successful watches, in seconds.
+
+    `first` follows the first one: in this time a new VM learns which others it
+    can get changes from. `least` follows each further one.
+    """
+
+    first: float = MIN_INTERVAL_SECONDS
+    least: float = MIN_INTERVAL_SECONDS
+
+
 @dataclass(slots=True)
 class PlatformHealth:
     """State of the connection to the platform, for operators.
@@ -76,7 +88,7 @@
         is_reader: Returns whether this VM is to read the platform.
         record_read: Called after a successful read with its start time, in
             monotonic seconds.
-        min_interval_seconds: Least time between two successful watches.
+        intervals: The times between two successful watches.
     """
 
     def __init__(
@@ -87,9 +99,9 @@
         rng: random.Random,
         is_reader: Callable[[], bool] = _always,
         record_read: Callable[[float], None] = _ignore_read,
-        min_interval_seconds: float = MIN_INTERVAL_SECONDS,
+        intervals: WatchIntervals | None = None,
     ) -> None:
-        self._min_interval_seconds = min_interval_seconds
+        self._intervals = intervals or WatchIntervals()
         self._reader = reader
         self._register = register
         self._clock = clock
@@ -154,8 +166,10 @@
         backoff_seconds: float,
         stopping: threading.Event,
     ) -> float:
+        is_first = not self.health.first_read.is_set()
         if self.read():
-            stopping.wait(self._min_interval_seconds)
+            intervals = self._intervals
+            stopping.wait(intervals.first if is_first else intervals.least)
             return INITIAL_BACKOFF_SECONDS
         jitter_factor = self._rng.uniform(MIN_JITTER_FACTOR, MAX_JITTER_FACTOR)
         stopping.wait(backoff_seconds * jitter_factor)
--- a/basilwall/configuration/platform_watch_test.py
+++ b/basilwall/configuration/platform_watch_test.py
@@ -8,6 +8,7 @@
 from basilwall.configuration.initial_sync import wait_for_initial_sync
 from basilwall.configuration.platform_watch import (
     PlatformWatch,
+    WatchIntervals,
     combined_health,
 )
 from basilwall.configuration.readers import READERS_PER_ZONE, is_platform_reader
@@ -87,6 +88,32 @@
     assert not reader.requested
 
 
+class Waits(threading.Event):
+    """Records how long a task waits; stops it after two waits."""
+
+    def __init__(self):
+        super().__init__()
+        self.seconds = []
+
+    def wait(self, timeout=None):
+        self.seconds.append(timeout)
+        if len(self.seconds) == 2:
+            self.set()
+        return True
+
+
+def test_a_new_vm_reads_again_only_once_it_can_know_of_others():
+    _, watch = make(
+        RevisionRegister(),
+        reply(9),
+        reply(10),
+        intervals=WatchIntervals(first=1.0, least=0.3),
+    )
+    waits = Waits()
+    watch.run(waits)
+    assert waits.seconds == [1.0, 0.3]
+
+
 def fleet(count, zones):
     return FleetList(
         tuple(
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -18,7 +18,10 @@
 from dataclasses import dataclass
 from functools import partial
 
-from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.configuration.platform_watch import (
+    PlatformWatch,
+    WatchIntervals,
+)
 from basilwall.entry_serving import Serving, build_serving
 from basilwall.fleet.catch_up import CatchUp
 from basilwall.fleet.change_client import ChangeClient
@@ -55,6 +58,9 @@
 #: Lower bound of the time between two watches that returned changes: changes
 #: come in groups, and each call to the store is charged for.
 MIN_WATCH_INTERVAL_SECONDS = 0.3
+#: Time after the first listing in which a VM learns of the others, so that it
+#: can get further changes from them.
+FIRST_WATCH_INTERVAL_SECONDS = 1.0
 #: How long the store holds a watch. The short one is used if VMs may learn of
 #: changes from each other: a VM must then notice soon that it lost the store.
 LONG_WATCH_SECONDS = 4.0
@@ -189,13 +195,20 @@
     watch_seconds = SHORT_WATCH_SECONDS if may_relay else LONG_WATCH_SECONDS
     store = HttpStoreClient(settings.store_address, watch_seconds)
     client = ChangeClient()
-    reader = RelayedReader(store, fleet.membership, clock, may_relay, client)
+    reader = RelayedReader(
+        store, fleet.membership, settings.place, clock, may_relay, client
+    )
     watch = PlatformWatch(
         reader,
         register,
         clock,
         rng,
-        min_interval_seconds=MIN_WATCH_INTERVAL_SECONDS,
+        intervals=WatchIntervals(
+            FIRST_WATCH_INTERVAL_SECONDS
+            if may_relay
+            else MIN_WATCH_INTERVAL_SECONDS,
+            MIN_WATCH_INTERVAL_SECONDS,
+        ),
     )
     freshness = StoreFreshness(watch, reader, clock)
     routing_state.removals_held_until = freshness.removals_held_until
--- a/basilwall/fleet/catch_up_test.py
+++ b/basilwall/fleet/catch_up_test.py
@@ -13,6 +13,7 @@
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.records.catalogue import PublishedValue
+from basilwall.routing.location import VmLocation
 
 PEER = '10.0.0.2:1'
 
@@ -64,7 +65,12 @@
         self.client = Client(5)
         membership = Membership(Member('10.0.0.1:1', 'a'), self.clock)
         reader = RelayedReader(
-            self.store, membership, self.clock, False, self.client
+            self.store,
+            membership,
+            VmLocation('zone', {}),
+            self.clock,
+            False,
+            self.client,
         )
         self.watch = PlatformWatch(
             reader, self.register, self.clock, random.Random(1)
--- a/basilwall/fleet/relay_delay_test.py
+++ b/basilwall/fleet/relay_delay_test.py
@@ -17,14 +17,16 @@
 from basilwall.fleet.relayed_reader import (
     RelayedReader,
     StoreFreshness,
-    zone_readers,
+    region_readers,
 )
 from basilwall.parts.clock import ManualClock, SystemClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.records.catalogue import PublishedValue
+from basilwall.routing.location import VmLocation
 
 BOUND_SECONDS = 5.0
+LOCATION = VmLocation('zone', {'zone': 'region'})
 #: The narrowest link of a VM, and the most VMs of one availability zone.
 LINK_BITS_PER_SECOND = 7_000_000
 VMS_IN_ZONE = 13
@@ -77,7 +79,12 @@
     register = RevisionRegister()
     store = FixedStore(large_table())
     reader = RelayedReader(
-        store, membership, clock, may_relay=True, client=ChangeClient()
+        store,
+        membership,
+        LOCATION,
+        clock,
+        may_relay=True,
+        client=ChangeClient(),
     )
     watch = PlatformWatch(reader, register, clock, random.Random(1))
     freshness = StoreFreshness(watch, reader, clock)
@@ -129,8 +136,10 @@
         member
         for member in members
         if member.address
-        not in zone_readers(
-            member, [other for other in members if other is not member]
+        not in region_readers(
+            member,
+            [other for other in members if other is not member],
+            LOCATION,
         )
     )
     clock = SystemClock()
@@ -139,7 +148,12 @@
         membership.record_contact(member)
     store = FixedStore(b'new')
     reader = RelayedReader(
-        store, membership, clock, may_relay=True, client=ChangeClient()
+        store,
+        membership,
+        LOCATION,
+        clock,
+        may_relay=True,
+        client=ChangeClient(),
     )
     began = time.monotonic()
     reply = reader.watch(1)
--- a/basilwall/fleet/relayed_reader.py
+++ b/basilwall/fleet/relayed_reader.py
@@ -1,9 +1,9 @@
 """Reads the store, or gets its changes from a VM that reads it.
 
 Each call to the store is paid for, and a change ends all watches at once. So
-in a large availability zone only a few VMs (the readers) read the store. They
-are chosen by rendezvous hashing over the VMs that each VM knows. The other VMs
-watch one of the readers.
+in a large region only a few VMs (the readers) read the store. They are chosen
+by rendezvous hashing over the VMs that each VM knows. The other VMs watch one
+of the readers.
 
 A reader sends the age of its data. A VM waits for a reader only until its own
 data has a certain age, whatever the reader does meanwhile, and then reads the
@@ -28,13 +28,14 @@
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.rendezvous import rank_addresses
 from basilwall.records.ids import VmAddress
+from basilwall.routing.location import Distance, VmLocation
 from basilwall.routing.routing_state import LAPSED_ENTRY_RETURN_SECONDS
 
-#: In a zone with up to this many VMs, all of them read the store.
+#: In a region with up to this many VMs, all of them read the store.
 MAX_VMS_ALL_READ = 4
-MIN_READERS_PER_ZONE = 2
-#: A zone has at least one reader for this many VMs, since the link of a reader
-#: bears only so many followers.
+MIN_READERS_PER_REGION = 2
+#: A region has at least one reader for this many VMs, since the link of a
+#: reader bears only so many followers.
 VMS_PER_READER = 13
 #: Longest time that a reader holds a request open without a change.
 HOLD_SECONDS = 1.5
@@ -54,28 +55,35 @@
 _log = logging.getLogger(__name__)
 
 
-def zone_readers(own: Member, known: list[Member]) -> list[VmAddress]:
-    """Return the VMs of an availability zone that read the store.
+def region_readers(
+    own: Member, known: list[Member], location: VmLocation
+) -> list[VmAddress]:
+    """Return the VMs of a region that read the store.
 
     Args:
         own: This VM.
-        known: The other VMs that it knows, in any zone.
+        known: The other VMs that it knows, in any region.
+        location: Tells which availability zones are in the region of this VM.
 
     Returns:
         Their addresses in order of preference; only that of `own` if all VMs
-        of the zone are to read.
+        of the region are to read.
     """
     neighbours = {
         member.address
         for member in known
-        if member.zone == own.zone and not member.leaving
+        if _is_in_region(member, location) and not member.leaving
     }
     if len(neighbours) + 1 <= MAX_VMS_ALL_READ:
         return [own.address]
-    zone_addresses = {own.address, *neighbours}
-    by_size = math.ceil(len(zone_addresses) / VMS_PER_READER)
-    count = max(by_size, MIN_READERS_PER_ZONE)
-    return rank_addresses(zone_addresses)[:count]
+    addresses = {own.address, *neighbours}
+    by_size = math.ceil(len(addresses) / VMS_PER_READER)
+    count = max(by_size, MIN_READERS_PER_REGION)
+    return rank_addresses(addresses)[:count]
+
+
+def _is_in_region(member: Member, location: VmLocation) -> bool:
+    return location.distance_to(member.zone) is not Distance.OTHER_REGION
 
 
 class RelayedReader(PlatformReader):
@@ -89,6 +97,7 @@
         self,
         store: PlatformReader,
         membership: Membership,
+        location: VmLocation,
         clock: Clock,
         may_relay: bool,
         client: ChangeClient,
@@ -98,6 +107,7 @@
         Args:
             store: Reads the store.
             membership: The VMs that this VM knows.
+            location: Where this VM is.
             clock: Dates the requests.
             may_relay: Whether changes may come from other VMs.
             client: Gets changes from other VMs.
@@ -109,6 +119,7 @@
         self._may_relay = may_relay
         self._store = store
         self._membership = membership
+        self._location = location
         self._clock = clock
         self._skipped_until: dict[VmAddress, float] = {}
         #: When the data in the last reply was current, in monotonic seconds.
@@ -116,14 +127,11 @@
 
     @property
     def is_reader(self) -> bool:
-        """True if this VM is a reader of its zone."""
-        own = self._membership.own
-        return own.address in zone_readers(
-            own, self._membership.known_members()
-        )
+        """True if this VM is a reader of its region."""
+        return self._membership.own.address in self._readers()
 
     def watch(self, after: int) -> WatchReply:
-        """Wait for changes, at a reader of the zone or at the store.
+        """Wait for changes, at a reader of the region or at the store.
 
         Args:
             after: The revision up to which all changes are known; 0 for none.
@@ -174,7 +182,7 @@
     def _select_reader(self) -> VmAddress | None:
         """Return the VM to request changes from, None to read the store."""
         own = self._membership.own
-        readers = zone_readers(own, self._membership.known_members())
+        readers = self._readers()
         if own.address in readers or not self._may_relay:
             return None
         if self._seconds_left() < MIN_CALL_SECONDS:
@@ -187,6 +195,12 @@
         )
         return next(usable, None)
 
+    def _readers(self) -> list[VmAddress]:
+        membership = self._membership
+        return region_readers(
+            membership.own, membership.known_members(), self._location
+        )
+
     def _seconds_left(self) -> float:
         """Return how much longer this VM may wait for a reader."""
         if self._current_at is None:
--- a/basilwall/fleet/relayed_reader_test.py
+++ b/basilwall/fleet/relayed_reader_test.py
@@ -20,18 +20,20 @@
     MAX_AGE_SECONDS,
     RelayedReader,
     StoreFreshness,
-    zone_readers,
+    region_readers,
 )
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.records.catalogue import PublishedValue
+from basilwall.routing.location import VmLocation
 
 VMS = 6
 #: Twice 164 kB, the largest value compressed, in 5 s over 7 Mbit/s.
 MAX_FOLLOWERS = 13
 HOLD_SECONDS = 'basilwall.fleet.relayed_reader.HOLD_SECONDS'
 KEYS = [f'k{number}' for number in range(4)]
+LOCATION = VmLocation('zone', {'zone': 'here', 'next': 'here', 'far': 'there'})
 
 
 class TasksAtOnce:
@@ -101,6 +103,7 @@
         self.reader = RelayedReader(
             self.store,
             self.membership,
+            LOCATION,
             clock,
             may_relay=True,
             client=client,
@@ -147,20 +150,39 @@
     return readers, [vm for vm in fleet.values() if vm not in readers]
 
 
-def test_all_vms_of_a_small_zone_read_and_two_of_a_large_zone():
+def test_all_vms_of_a_small_region_read_and_two_of_a_large_one():
     own = Member('10.0.0.1:1', 'a', 'zone')
     neighbours = [
         Member(f'10.0.0.{number}:1', 'b', 'zone') for number in range(2, 25)
     ]
-    other_zone = [
-        Member(f'10.0.1.{number}:1', 'b', 'other') for number in range(30)
-    ]
-    assert zone_readers(own, [*neighbours[:3], *other_zone]) == [own.address]
-    chosen = zone_readers(own, [*neighbours, *other_zone])
+    others = [Member(f'10.0.1.{number}:1', 'b', 'far') for number in range(30)]
+    few = [*neighbours[:3], *others]
+    assert region_readers(own, few, LOCATION) == [own.address]
+    chosen = region_readers(own, [*neighbours, *others], LOCATION)
     assert len(chosen) == 2
     for member in neighbours:
-        others = [own, *(other for other in neighbours if other is not member)]
-        assert zone_readers(member, others) == chosen
+        known = [own, *(other for other in neighbours if other is not member)]
+        assert region_readers(member, known, LOCATION) == chosen
+
+
+def test_zones_of_a_region_do_not_each_have_readers_of_the_store():
+    members = [
+        Member(f'10.0.{place}.{number}:1', 'a', zone)
+        for place, zone in enumerate(('zone', 'next'))
+        for number in range(3)
+    ]
+    chosen = {
+        tuple(
+            region_readers(
+                own,
+                [other for other in members if other is not own],
+                VmLocation(own.zone, LOCATION.region_by_zone),
+            )
+        )
+        for own in members
+    }
+    assert len(chosen) == 1
+    assert len(chosen.pop()) == 2
 
 
 @pytest.mark.parametrize('vms', [5, 13, 50, 315])
@@ -169,7 +191,7 @@
         Member(f'10.0.{number // 250}.{number % 250}:1', 'a', 'zone')
         for number in range(vms)
     ]
-    readers = zone_readers(members[0], members[1:])
+    readers = region_readers(members[0], members[1:], LOCATION)
     assert (vms - len(readers)) / len(readers) <= MAX_FOLLOWERS
 
 
