Begin an answer early enough to return it in time from a slow VM

Cause: 14 ms were reserved for the way back on every VM. One with 0.12 of a core takes 4 to 16 ms to merge, log, encode and send, the caller is 6.4 ms away and back, twice that on a new connection, and parsing the head took 3 ms before the request was dated.

Now the VM learns what returning an answer takes (mean and deviation), the kernel tells the caller's round trip, and a request is dated when its bytes arrive. At most 0.3 of the target is reserved.

Both new tests of the completion fail without the change.

--- a/basilwall/forwarding/answers.py
+++ b/basilwall/forwarding/answers.py
@@ -8,7 +8,7 @@
 from basilwall.forwarding.merging import merge_records
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.records.forwarding import Answer, Reply, Verdict
-from basilwall.records.routes import ScatterGather
+from basilwall.records.routes import Route, ScatterGather
 from basilwall.routing.selection import SearcherSelector
 
 HTTP_OK = 200
@@ -77,6 +77,12 @@
         )
         return self.refusal(verdict, base_seconds)
 
+    def of(self, subrequests: Sequence[SubRequest], route: Route) -> Answer:
+        """Return the answer of a request once it stops waiting."""
+        if route.scatter_gather is None:
+            return self.single(subrequests[0])
+        return self.of_shards(subrequests, route.scatter_gather)
+
     def single(self, subrequest: SubRequest) -> Answer:
         """Return the answer of a request to one service."""
         if subrequest.success is not None:
--- a/basilwall/forwarding/completion.py
+++ b/basilwall/forwarding/completion.py
@@ -16,8 +16,8 @@
 from basilwall.records.forwarding import Call
 from basilwall.records.routes import Route, ScatterGather
 
-#: Time reserved to write the answer and transfer it to the caller.
-RETURN_MARGIN_SECONDS = 0.014
+#: At most this share of the target latency is reserved to return an answer.
+MAX_RETURN_RATIO = 0.3
 #: Keeps a product such as 0.9 x 10, which may be slightly above 9, from being
 #: rounded up.
 ROUNDING_TOLERANCE = 1e-9
@@ -40,8 +40,12 @@
 class SingleCompletion(CompletionPolicy):
     """Waits for the reply of one service, until the deadline."""
 
-    def __init__(self, call: Call, route: Route) -> None:
-        self._deadline = _answer_deadline(call, route)
+    def __init__(
+        self, call: Call, route: Route, return_seconds: float = 0
+    ) -> None:
+        """Make a policy; `return_seconds` is what returning an answer takes."""
+        margin = _return_margin(call, route, return_seconds)
+        self._deadline = _answer_deadline(call, route, margin)
 
     def is_complete(
         self, subrequests: Sequence[SubRequest], now: float
@@ -64,13 +68,23 @@
         call: Call,
         route: Route,
         scatter_gather: ScatterGather,
+        return_seconds: float = 0,
     ) -> None:
+        """Make a policy.
+
+        Args:
+            call: The request.
+            route: Its route.
+            scatter_gather: How the route combines the answers of its shards.
+            return_seconds: What returning an answer takes on this VM.
+        """
+        margin = _return_margin(call, route, return_seconds)
         self._min_answers = min_shards(scatter_gather)
         self._total = len(scatter_gather.shards)
-        self._deadline = _answer_deadline(call, route)
+        self._deadline = _answer_deadline(call, route, margin)
         self._target_deadline = min(
-            call.received_at + route.target_latency - RETURN_MARGIN_SECONDS,
-            self._deadline - RETURN_MARGIN_SECONDS,
+            call.received_at + route.target_latency - margin,
+            self._deadline - margin,
         )
 
     def is_complete(
@@ -96,10 +110,16 @@
         return self._deadline
 
 
-def _answer_deadline(call: Call, route: Route) -> float:
+def _return_margin(call: Call, route: Route, return_seconds: float) -> float:
+    """Return how long before it is due an answer is begun, in seconds."""
+    longest = route.target_latency * MAX_RETURN_RATIO
+    return min(call.transfer_seconds + return_seconds, longest)
+
+
+def _answer_deadline(call: Call, route: Route, margin: float) -> float:
     """Return when to answer so that the caller still receives it."""
     return min(
-        call.expires_at - RETURN_MARGIN_SECONDS,
+        call.expires_at - margin,
         call.received_at + route.timeout,
     )
 
--- a/basilwall/forwarding/completion_test.py
+++ b/basilwall/forwarding/completion_test.py
@@ -5,7 +5,6 @@
 import pytest
 
 from basilwall.forwarding.completion import (
-    RETURN_MARGIN_SECONDS,
     ScatterCompletion,
     SingleCompletion,
     min_shards,
@@ -20,10 +19,11 @@
 )
 
 START = 100.0
+TRANSFER_SECONDS = 0.01
 TARGET_LATENCY = 0.15
 TIMEOUT = 2.0
-BEFORE_TARGET = START + TARGET_LATENCY - RETURN_MARGIN_SECONDS - 0.001
-AT_TARGET = START + TARGET_LATENCY - RETURN_MARGIN_SECONDS
+BEFORE_TARGET = START + TARGET_LATENCY - TRANSFER_SECONDS - 0.001
+AT_TARGET = START + TARGET_LATENCY - TRANSFER_SECONDS
 SHARDS = tuple(f's{number}' for number in range(10))
 
 
@@ -102,10 +102,28 @@
     )
     policy = kind(impatient_call, tested_route, *extra_arguments)
     pending = subrequests(0)
-    assert not policy.is_complete(
-        pending, START + 1 - 2 * RETURN_MARGIN_SECONDS
+    assert not policy.is_complete(pending, START + 1 - 2 * TRANSFER_SECONDS)
+    assert policy.is_complete(pending, START + 1 - TRANSFER_SECONDS)
+
+
+def test_a_slow_vm_begins_an_answer_early_enough_to_return_it_in_time():
+    tested_route = route()
+    policy = ScatterCompletion(
+        call(), tested_route, tested_route.scatter_gather, 0.02
+    )
+    nearly_all = subrequests(9)
+    assert not policy.is_complete(nearly_all, AT_TARGET - 0.021)
+    assert policy.is_complete(nearly_all, AT_TARGET - 0.019)
+
+
+def test_a_caller_far_away_is_answered_earlier():
+    tested_route = route()
+    far_call = dataclasses.replace(call(), transfer_seconds=0.03)
+    policy = ScatterCompletion(
+        far_call, tested_route, tested_route.scatter_gather
     )
-    assert policy.is_complete(pending, START + 1 - RETURN_MARGIN_SECONDS)
+    nearly_all = subrequests(9)
+    assert policy.is_complete(nearly_all, AT_TARGET - 0.019)
 
 
 def test_a_single_request_waits_for_its_reply_or_its_deadline():
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import replace
 
@@ -77,7 +77,17 @@
         except CallerLeftError:
             answer = Answer(Verdict.CALLER_LEFT, 0)
         self._reporter.report_end(call, route, table, answer, trail)
-        return replace(answer, table_version=table.version if table else 0)
+        return replace(
+            answer,
+            table_version=table.version if table else 0,
+            waited_until=trail.waited_until,
+        )
+
+    def record_sent(self, answer: Answer) -> None:
+        """Record that an answer was sent to its caller."""
+        if answer.waited_until is not None:
+            now = self._context.clock.monotonic()
+            self._context.return_time.observe(now - answer.waited_until)
 
     def _answer(
         self,
@@ -142,13 +152,15 @@
                 Verdict.NO_SEARCHER, execution.subrequests, needed
             )
         with _release_at_exit(execution):
-            execution.run(_completion_policy(call, route))
+            return_seconds = self._context.return_time.expected
+            execution.run(_completion_policy(call, route, return_seconds))
+            trail.waited_until = self._context.clock.monotonic()
             reached = {
                 subrequest.service: subrequest.reached_count
                 for subrequest in execution.subrequests
                 if subrequest.reached_count
             }
-        answer = self._answer_of(route, execution.subrequests)
+        answer = self._answers.of(execution.subrequests, route)
         if answer.status == HTTP_OK or not self._context.are_links_lost():
             return answer
         attempts_left = route.max_attempts - max(reached.values(), default=0)
@@ -161,13 +173,6 @@
             return self._answers.given_up()
         return answer
 
-    def _answer_of(
-        self, route: Route, subrequests: Sequence[SubRequest]
-    ) -> Answer:
-        if route.scatter_gather is None:
-            return self._answers.single(subrequests[0])
-        return self._answers.of_shards(subrequests, route.scatter_gather)
-
     def _have_relayed(
         self,
         call: Call,
@@ -278,7 +283,9 @@
     return min(call.expires_at, call.received_at + route.timeout)
 
 
-def _completion_policy(call: Call, route: Route) -> CompletionPolicy:
+def _completion_policy(
+    call: Call, route: Route, return_seconds: float
+) -> CompletionPolicy:
     if route.scatter_gather is None:
-        return SingleCompletion(call, route)
-    return ScatterCompletion(call, route, route.scatter_gather)
+        return SingleCompletion(call, route, return_seconds)
+    return ScatterCompletion(call, route, route.scatter_gather, return_seconds)
--- a/basilwall/forwarding/reporting.py
+++ b/basilwall/forwarding/reporting.py
@@ -45,6 +45,9 @@
         self.attempts = 0
         self.hedges = 0
         self.omitted_steps = 0
+        #: When the request stopped waiting, in monotonic seconds; None if it
+        #: waited for no searcher.
+        self.waited_until: float | None = None
 
     def add(self, step: Step) -> None:
         """Append a step, or count it if the trail is full."""
--- a/basilwall/ingress/reading.py
+++ b/basilwall/ingress/reading.py
@@ -70,6 +70,7 @@
         self._poll = select.poll()
         self._poll.register(caller, select.POLLIN)
         self._head_started_at: float | None = None
+        self._received_at = clock.monotonic()
         self.http = self._new_http()
 
     def next_request(self) -> CompleteRequest | BadRequest:
@@ -109,8 +110,10 @@
 
     def _read_request(self) -> CompleteRequest:
         limits = self._limits()
+        # Of a pipelined request all bytes may have been read before.
+        self._received_at = self._clock.monotonic()
         head = self._read_head(limits)
-        head_received_at = self._clock.monotonic()
+        head_received_at = self._received_at
         framing_error = _framing_error(head)
         if framing_error:
             raise _UnreadableRequestError(HTTP_BAD_REQUEST, framing_error)
@@ -184,6 +187,8 @@
         """Read the caller's bytes, waiting at most `MAX_WAIT_SECONDS`."""
         if not self._poll.poll(MAX_WAIT_SECONDS * MS_PER_SECOND):
             return
+        # Parsing takes time of its own, which counts for the caller.
+        self._received_at = self._clock.monotonic()
         try:
             self.http.receive_data(self._caller.recv(READ_BYTES))
         except BlockingIOError:
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -1,11 +1,12 @@
 """Accepts callers' connections and serves each in its own task."""
 
+import itertools
 import logging
 import socket
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
 from contextlib import contextmanager, suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from http import HTTPStatus
 from threading import Event
@@ -17,9 +18,9 @@
 from basilwall.ingress.reading import (
     BadRequest,
     CallerGoneError,
-    CompleteRequest,
     RequestReader,
 )
+from basilwall.ingress.transfer import transfer_seconds
 from basilwall.parts.clock import Clock
 from basilwall.parts.listening_sockets import refuse_new_connections
 from basilwall.parts.tasks import TaskGroup
@@ -82,29 +83,29 @@
             self.clock,
             lambda: self.stop_state.is_closing_idle,
         )
-        while True:
+        for number in itertools.count():
             request = reader.next_request()
             if isinstance(request, BadRequest):
                 self._reject(caller, reader.http, request)
                 return
-            if not self._serve_request(caller, reader.http, request):
+            call = self.codec.decode_request(
+                request.head, request.body, request.head_received_at
+            )
+            transfer = transfer_seconds(caller, is_first_request=not number)
+            call = replace(call, transfer_seconds=transfer)
+            if not self._serve_call(caller, reader.http, call):
                 return
 
-    def _serve_request(
-        self,
-        caller: socket.socket,
-        http: h11.Connection,
-        request: CompleteRequest,
+    def _serve_call(
+        self, caller: socket.socket, http: h11.Connection, call: Call
     ) -> bool:
         """Answer one request; False if the connection must be closed."""
-        call = self.codec.decode_request(
-            request.head, request.body, request.head_received_at
-        )
         answer = self.forwarder.serve(call, caller)
         if answer.verdict is Verdict.CALLER_LEFT:
             return False
         stays_open = not self.stop_state.is_stopping
         caller.sendall(self._encode(http, call, answer, keep_alive=stays_open))
+        self.forwarder.record_sent(answer)
         return stays_open and http.our_state is h11.DONE
 
     def _reject(
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -21,6 +21,8 @@
     `is_relayed` is True if another VM relayed the request; only a route table
     of `min_table_version` or newer may then serve it. `max_attempts` limits the
     searchers of each service that get it, None if only the route does.
+    `transfer_seconds` is how long the request and its answer are on their way
+    between the caller and this VM.
     """
 
     method: bytes
@@ -34,6 +36,7 @@
     is_relayed: bool = False
     min_table_version: int = 0
     max_attempts: int | None = None
+    transfer_seconds: float = 0.01
 
     @property
     def path(self) -> bytes:
@@ -154,6 +157,8 @@
 
     `retry_after` is in seconds, None if a retry would not help.
     `table_version` is that of the route table that it follows, 0 for none.
+    `waited_until` is when its request stopped waiting for searchers, in
+    monotonic seconds, None if it did not wait.
     """
 
     verdict: Verdict
@@ -164,4 +169,5 @@
     retry_after: float | None = None
     missing_shards: int = 0
     table_version: int = 0
+    waited_until: float | None = None
     signatures: tuple[bytes, ...] = field(default=())
