Refuse at once what searchers known to be down would have to serve, and say not run

Callers may not repeat the unsafe ones of these.

Cause: a searcher that refuses connections was only put behind the others in the choice, so when all did, all were tried. And an attempt still open when the request was given up counted as one that may have run, also if nothing of it was sent.

Now a searcher that accepts no connection, and to which none is kept, gets no request during its backoff, a second at most; the next request probes it. A request whose shards are down in too great a number is refused before its first attempt, with the time of the next probe. What was released before its first byte has not run, so the request ends 503 with Retry-After; one of whose parts may have run still ends 502 or 504.

Ruled out: taking a searcher that refuses a request (503) for down, since its kept connections work.

--- a/basilwall/forwarding/answers.py
+++ b/basilwall/forwarding/answers.py
@@ -90,7 +90,7 @@
         failure = subrequest.failure
         if isinstance(failure, Reply) and _may_forward_failure(failure):
             return _forward_reply(failure, Verdict.PASSED_ON)
-        if subrequest.has_ended and not subrequest.may_have_run:
+        if not subrequest.may_have_run:
             return self.unservable(Verdict.NOT_RUN, [subrequest], 1)
         if not subrequest.has_ended:
             return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
@@ -119,19 +119,19 @@
                 missing_shards=missing,
                 signatures=tuple(reply.signature for reply in replies),
             )
-        if _may_complete(subrequests, needed):
-            return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
         any_may_have_run = any(
-            subrequest.may_have_run or subrequest.is_open or subrequest.success
+            subrequest.may_have_run or subrequest.success
             for subrequest in subrequests
         )
-        if any_may_have_run:
-            return Answer(
-                Verdict.TOO_FEW_SHARDS,
-                HTTP_BAD_GATEWAY,
-                retry_after=RETRY_AFTER_OVERLOAD_SECONDS,
-            )
-        return self.unservable(Verdict.NOT_RUN, subrequests, needed)
+        if not any_may_have_run:
+            return self.unservable(Verdict.NOT_RUN, subrequests, needed)
+        if _may_complete(subrequests, needed):
+            return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
+        return Answer(
+            Verdict.TOO_FEW_SHARDS,
+            HTTP_BAD_GATEWAY,
+            retry_after=RETRY_AFTER_OVERLOAD_SECONDS,
+        )
 
     def _with_jitter(self, seconds: float) -> float:
         return seconds * self._rng.uniform(
--- a/basilwall/forwarding/context.py
+++ b/basilwall/forwarding/context.py
@@ -12,7 +12,12 @@
 from basilwall.forwarding.transport import Attempt, Transport
 from basilwall.parts.clock import Clock
 from basilwall.parts.hedge import HedgeDelay
-from basilwall.records.forwarding import AttemptResult, Reply
+from basilwall.records.forwarding import (
+    AttemptResult,
+    LossReason,
+    Reply,
+    Unsent,
+)
 from basilwall.records.routes import RetrySafety
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.searcher_stats import SearcherStats
@@ -62,7 +67,9 @@
         )
     was_failing = stats.is_failing
     blame = rule_for(RetrySafety.IDEMPOTENT, outcome).blame
-    if blame is Blame.UNAVAILABLE:
+    if _has_failed_to_connect(attempt, outcome):
+        stats.record_connect_failure()
+    elif blame is Blame.UNAVAILABLE:
         stats.record_refusal()
     elif blame is Blame.FAULTY:
         stats.record_failure()
@@ -74,6 +81,14 @@
         _log_change(stats, outcome)
 
 
+def _has_failed_to_connect(attempt: Attempt, outcome: AttemptResult) -> bool:
+    is_unconnected = (
+        isinstance(outcome, Unsent)
+        and outcome.reason is LossReason.NOT_CONNECTED
+    )
+    return is_unconnected and not attempt.is_connected
+
+
 def _log_change(stats: SearcherStats, outcome: AttemptResult) -> None:
     searcher = stats.searcher
     _log.info(
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -252,6 +252,8 @@
         attempt_number = subrequest.numbers_by_attempt.pop(attempt)
         transport = self._context.transport
         self._waiter.remove(attempt)
+        if not has_ended:
+            subrequest.may_have_run |= attempt.is_sent
         if not has_ended and not is_cancelled:
             waited = self._clock.monotonic() - attempt.sent_at
             self._hedge_delay.observe(waited)
--- a/basilwall/routing/searcher_stats.py
+++ b/basilwall/routing/searcher_stats.py
@@ -35,6 +35,9 @@
 BACKOFF_PENALTY_SECONDS = 5.0
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
+#: A searcher that accepts no connection gets no request during its backoff,
+#: nor for longer than this: the next request probes whether it is back.
+MAX_DOWN_SECONDS = 1.0
 #: Work takes this many times as long while a searcher warms up.
 COLD_FACTOR = 1.6
 #: Weight of the latest attempt in the failure rate.
@@ -87,17 +90,13 @@
         self._backoff_until = -math.inf
         self._backoff = INITIAL_BACKOFF_SECONDS
         self._rest_until = -math.inf
+        self._down_until = -math.inf
         self._stuck_since = -math.inf
         self._failure_rate = DecayingFailureRate(clock)
         self._attempt_numbers = itertools.count()
         self._sent_at_by_number: dict[int, float] = {}
         self._lock = threading.Lock()
 
-    @property
-    def in_flight(self) -> int:
-        """How many attempts of this VM are waiting for a reply."""
-        return len(self._sent_at_by_number)
-
     @property
     def is_backing_off(self) -> bool:
         """True during the backoff after a failed connection or a refusal."""
@@ -108,9 +107,14 @@
         """For how much longer it wants no request of this VM, in seconds."""
         return max(self._rest_until - self._clock.monotonic(), 0)
 
+    def down_seconds_left(self, now: float) -> float:
+        """Return for how much longer it is taken to be down, in seconds."""
+        return max(self._down_until - now, 0)
+
     def expected_seconds(self, now: float) -> float:
         """Return how long an attempt that is sent now is expected to take."""
-        queue_factor = 1 + self.in_flight / self.searcher.slots
+        in_flight = len(self._sent_at_by_number)
+        queue_factor = 1 + in_flight / self.searcher.slots
         seconds = self.round_trip + self._expected_work(now) * queue_factor
         seconds += self._failure_rate.current() * FAILURE_COST
         if self.is_stuck(now):
@@ -157,6 +161,7 @@
             self.is_failing = False
             self._backoff = INITIAL_BACKOFF_SECONDS
             self._backoff_until = -math.inf
+            self._down_until = -math.inf
             self._failure_rate.record(0)
             self._recent_work = _smooth(self._expected_work(now), work)
             self._typical_work = _smooth(self._typical_work, work)
@@ -173,6 +178,14 @@
             self._backoff_until = now + self._backoff
             self._backoff = min(self._backoff * 2, MAX_BACKOFF_SECONDS)
 
+    def record_connect_failure(self) -> None:
+        """Record that it accepted no connection; it is taken to be down."""
+        self.record_refusal()
+        now = self._clock.monotonic()
+        with self._lock:
+            down_seconds = min(self._backoff_until - now, MAX_DOWN_SECONDS)
+            self._down_until = now + down_seconds
+
     def record_rest(self, seconds: float) -> None:
         """Record that it wants no request of this VM for some time."""
         rest_until = self._clock.monotonic() + seconds
--- a/basilwall/routing/selection.py
+++ b/basilwall/routing/selection.py
@@ -84,8 +84,8 @@
 
         Returns:
             The statistics of the searcher, or None if none is left. Searchers
-            are left out that asked for a rest, or whose limit leaves this VM
-            no request now.
+            are left out that are down, that asked for a rest, or whose limit
+            leaves this VM no request now.
         """
         now = self._clock.monotonic()
         chosen: SearcherStats | None = None
@@ -221,11 +221,23 @@
             }
 
     def _seconds_until_usable(self, searcher: Searcher) -> float:
-        resting = self.stats_of(searcher).rest_seconds_left
-        return max(resting, self._rate_limiter.seconds_until_room(searcher))
+        stats, now = self.stats_of(searcher), self._clock.monotonic()
+        return max(
+            stats.rest_seconds_left,
+            self._down_seconds_left(stats, now),
+            self._rate_limiter.seconds_until_room(searcher),
+        )
+
+    def _down_seconds_left(self, stats: SearcherStats, now: float) -> float:
+        """Return for how long a searcher has no usable connection."""
+        seconds = stats.down_seconds_left(now)
+        has_idle_connection = self._availability.has_idle_connection
+        return 0 if seconds and has_idle_connection(stats.searcher) else seconds
 
     def _is_usable(self, stats: SearcherStats, now: float) -> bool:
-        """Return whether a searcher is not resting and its limit has room."""
+        """Return whether a searcher may get a request now."""
+        if self._down_seconds_left(stats, now):
+            return False
         if now < self._last_rest_until and stats.rest_seconds_left:
             return False
         if not self._rate_limits.are_named:
@@ -234,13 +246,16 @@
 
     def _cost(self, stats: SearcherStats, now: float) -> float:
         jitter = 1 + self._rng.random() * COST_JITTER_RATIO
-        expected_seconds = stats.expected_seconds(now)
-        return expected_seconds * jitter + self._connection_cost(stats)
-
-    def _connection_cost(self, stats: SearcherStats) -> float:
-        """Return the expected time to get a connection, in seconds."""
-        if self._availability.has_idle_connection(stats.searcher):
-            return 0
-        if self._availability.may_open_connection(stats.searcher):
-            return stats.round_trip + CONNECTION_SETUP_SECONDS
-        return stats.round_trip + OVER_SHARE_PENALTY_SECONDS
+        connection_cost = _connection_cost(stats, self._availability)
+        return stats.expected_seconds(now) * jitter + connection_cost
+
+
+def _connection_cost(
+    stats: SearcherStats, availability: ConnectionAvailability
+) -> float:
+    """Return the expected time to get a connection, in seconds."""
+    if availability.has_idle_connection(stats.searcher):
+        return 0
+    if availability.may_open_connection(stats.searcher):
+        return stats.round_trip + CONNECTION_SETUP_SECONDS
+    return stats.round_trip + OVER_SHARE_PENALTY_SECONDS
--- a/basilwall/routing/selection_test.py
+++ b/basilwall/routing/selection_test.py
@@ -9,6 +9,7 @@
 from basilwall.records.searcher import Searcher
 from basilwall.routing.location import RoundTripTimes, VmLocation
 from basilwall.routing.rate_limiter import RateLimiter
+from basilwall.routing.searcher_stats import MAX_DOWN_SECONDS
 from basilwall.routing.selection import ConnectionAvailability, SearcherSelector
 
 OWN_ZONE = 'z1'
@@ -142,3 +143,35 @@
     assert selector.pick('s', ()) is None
     routing_state.by_id = {'near': searcher('near', OWN_ZONE, started=2)}
     assert selector.pick('s', ()) is not None
+
+
+def test_a_service_whose_searchers_accept_no_connection_is_not_tried_again():
+    clock = ManualClock()
+    both = searcher('near', OWN_ZONE), searcher('far', 'z3')
+    selector, _, _ = make(*both, clock=clock)
+    for listed in both:
+        selector.stats_of(listed).record_connect_failure()
+    assert selector.pick_each(['s'], 1) == []
+    assert 0 < selector.seconds_until_usable('s') <= MAX_DOWN_SECONDS
+    clock.advance(selector.seconds_until_usable('s'))
+    assert selector.pick('s', ()) is not None
+
+
+def test_a_searcher_with_a_kept_connection_is_not_down():
+    near = searcher('near', OWN_ZONE)
+    selector, availability, _ = make(near)
+    selector.stats_of(near).record_connect_failure()
+    availability.idle.add('near')
+    assert selector.pick('s', ()).searcher is near
+    assert selector.seconds_until_usable('s') == 0
+
+
+def test_a_searcher_that_is_long_down_is_probed_each_second():
+    clock = ManualClock()
+    near = searcher('near', OWN_ZONE)
+    selector, _, _ = make(near, clock=clock)
+    for _ in range(20):
+        selector.stats_of(near).record_connect_failure()
+        assert selector.seconds_until_usable('s') <= MAX_DOWN_SECONDS
+        clock.advance(MAX_DOWN_SECONDS)
+        assert selector.pick('s', ()) is not None
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -126,6 +126,10 @@
 
     def verdicts(self, raw):
         """Return the verdicts that the VM logs while it serves a request."""
+        return [one.verdict for one in self.ends(raw)]
+
+    def ends(self, raw):
+        """Return what the VM logs of the ends of requests while it serves."""
         logged = []
         handler = logging.Handler()
         handler.emit = logged.append
@@ -136,7 +140,7 @@
             ask(self.caller, raw)
         finally:
             log.removeHandler(handler)
-        return [one.verdict for one in logged if hasattr(one, 'verdict')]
+        return [one for one in logged if hasattr(one, 'verdict')]
 
     def seen(self, service):
         """Return all requests that ran at the searchers of a service."""
