Try a suspected content at one searcher first, and learn return times by route

Cause: the deaths of one moment make a content suspect, not quarantined, as an outage does the same; and a suspect content was again sent to all shards at once.

Now a scattered request whose content is suspect goes to one searcher of one shard, without hedge or retry. If that answers, the others get it; if not, no other does.

The unit test (one searcher gets a suspect content that was sent to eight) fails without the change.

Also: how long it takes to return an answer is learned for each route.

--- a/basilwall/forwarding/context.py
+++ b/basilwall/forwarding/context.py
@@ -8,7 +8,7 @@
 from basilwall.forwarding.crash_detection import CrashDetector
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.retry_rules import Blame, describe_result, rule_for
-from basilwall.forwarding.return_time import ReturnTime
+from basilwall.forwarding.return_time import ReturnTimes
 from basilwall.forwarding.transport import Attempt, Transport
 from basilwall.parts.clock import Clock
 from basilwall.parts.hedge import HedgeDelay
@@ -42,7 +42,7 @@
     clock: Clock
     #: Returns whether this VM reaches no searcher at all.
     are_links_lost: Callable[[], bool] = _has_links
-    return_time: ReturnTime = field(default_factory=ReturnTime)
+    return_times: ReturnTimes = field(default_factory=ReturnTimes)
 
 
 def record_result(
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -55,6 +55,10 @@
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a request's content is known to crash searchers."""
 
+    @abstractmethod
+    def is_suspected(self, call: Call) -> bool:
+        """Return whether searchers were lost under a request's content."""
+
     @abstractmethod
     def quarantine_seconds_left(self, call: Call) -> float:
         """Return how long the content stays in quarantine, in seconds."""
@@ -124,10 +128,11 @@
 
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a request's content is known to crash searchers."""
-        if not len(self._quarantine):
-            return False
-        suspicion = self._quarantine.suspicion_of(fingerprint_of(call))
-        return suspicion is Suspicion.QUARANTINED
+        return self._suspicion_of(call) is Suspicion.QUARANTINED
+
+    def is_suspected(self, call: Call) -> bool:
+        """Return whether searchers were lost under a request's content."""
+        return self._suspicion_of(call) is Suspicion.SUSPECT
 
     def quarantine_seconds_left(self, call: Call) -> float:
         """Return how long the content stays in quarantine, in seconds."""
@@ -142,6 +147,11 @@
         elif isinstance(outcome, Lost):
             self._note_loss(self._make_loss(call, attempt), outcome.reason)
 
+    def _suspicion_of(self, call: Call) -> Suspicion:
+        if not len(self._quarantine):
+            return Suspicion.NONE
+        return self._quarantine.suspicion_of(fingerprint_of(call))
+
     def _note_answer(self, call: Call, searcher: Searcher) -> None:
         self._loss_classifier.note_alive(searcher.address)
         if not len(self._quarantine):
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -13,9 +13,14 @@
 from basilwall.forwarding.context import ForwardingContext, record_result
 from basilwall.forwarding.reporting import Step, Trail
 from basilwall.forwarding.retry_policy import RETRY_RESERVE_RATIO
-from basilwall.forwarding.retry_rules import describe_result, rule_for
+from basilwall.forwarding.retry_rules import (
+    RetryRule,
+    describe_result,
+    rule_for,
+)
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.forwarding.transport import Attempt, AttemptWaiter
+from basilwall.parts.clock import Clock
 from basilwall.parts.hedge import HedgeDelay
 from basilwall.records.forwarding import (
     AttemptResult,
@@ -33,6 +38,8 @@
 MIN_ATTEMPT_SECONDS = 0.005
 NO_SEARCHER = SearcherId('')
 
+FirstAttempts = list[tuple[SubRequest, SearcherStats]]
+
 
 class RequestExecution:
     """The attempts of one request; `close` ends those in flight."""
@@ -57,6 +64,8 @@
         self._is_quarantined = partial(
             context.crash_detector.is_quarantined, call
         )
+        self._add_step = partial(_add_step, trail, call, context.clock)
+        self._is_suspected = partial(context.crash_detector.is_suspected, call)
         self._may_hedge = route.retry_safety is RetrySafety.IDEMPOTENT
         self._in_flight: dict[Attempt, tuple[SubRequest, SearcherStats]] = {}
         self._first_choices: Sequence[SearcherStats | None] = ()
@@ -93,6 +102,7 @@
         Raises:
             CallerLeftError: If the caller closed its connection.
         """
+        first_attempts: FirstAttempts = []
         for subrequest, stats in zip(
             self.subrequests, self._first_choices, strict=True
         ):
@@ -100,27 +110,18 @@
             if stats is None or not self._may_send(subrequest):
                 subrequest.has_ended = True
             else:
-                self._send(subrequest, stats)
+                subrequest.hedge_at = self._deadline
+                first_attempts.append((subrequest, stats))
+        if len(first_attempts) > 1 and self._is_suspected():
+            first_attempts = self._try_first(first_attempts)
+        for subrequest, stats in first_attempts:
+            self._send(subrequest, stats)
         while not completion.is_complete(
             self.subrequests, self._clock.monotonic()
         ):
             if self._context.are_links_lost():
                 return
-            now = self._clock.monotonic()
-            hedges = [
-                candidate.hedge_at
-                for candidate in self.subrequests
-                if candidate.is_open
-            ]
-            wake_at = min(completion.next_check_at(now), *hedges)
-            has_results = False
-            for attempt, outcome in self._waiter.wait(wake_at - now):
-                self._handle_result(attempt, outcome)
-                has_results = True
-            # Replies may have arrived that were not read yet; these attempts
-            # must not be hedged.
-            if not has_results:
-                self._hedge_late(self._clock.monotonic())
+            self._wait(completion.next_check_at(self._clock.monotonic()))
 
     def close(self, *, caller_left: bool) -> None:
         """Release the attempts that are still in flight.
@@ -132,6 +133,52 @@
         for attempt in tuple(self._in_flight):
             self._release(attempt, is_cancelled=caller_left)
 
+    def _try_first(self, first_attempts: FirstAttempts) -> FirstAttempts:
+        """Send a content that may crash searchers to one of them only.
+
+        Args:
+            first_attempts: The services and searchers to send it to.
+
+        Returns:
+            Those that may get it now: the others if that one answered.
+        """
+        subrequest, stats = first_attempts[0]
+        max_attempts, self._max_attempts = self._max_attempts, 1
+        self._send(subrequest, stats)
+        while subrequest.is_open and self._clock.monotonic() < self._deadline:
+            if self._context.are_links_lost():
+                break
+            self._wait(self._deadline)
+        self._max_attempts = max_attempts
+        has_answered = subrequest.success is not None
+        end = 'answered' if has_answered else 'not answered'
+        event = f'suspected content tried alone, {end}'
+        self._add_step(subrequest, stats.searcher.searcher_id, event)
+        for untried, _ in first_attempts[1:]:
+            untried.has_ended = not has_answered
+        return first_attempts[1:] if has_answered else []
+
+    def _wait(self, until: float) -> None:
+        """Handle the next results, or hedge what is late if none come.
+
+        Args:
+            until: When to return without results, in monotonic seconds.
+        """
+        hedges = [
+            candidate.hedge_at
+            for candidate in self.subrequests
+            if candidate.is_open
+        ]
+        seconds = min(until, *hedges) - self._clock.monotonic()
+        has_results = False
+        for attempt, outcome in self._waiter.wait(seconds):
+            self._handle_result(attempt, outcome)
+            has_results = True
+        # Replies may have arrived that were not read yet; these attempts must
+        # not be hedged.
+        if not has_results:
+            self._hedge_late(self._clock.monotonic())
+
     def _send_next(self, subrequest: SubRequest) -> bool:
         """Send a further attempt; False if none is possible or allowed."""
         if self._is_quarantined() or not self._may_send(subrequest):
@@ -178,11 +225,10 @@
         ]
         for subrequest in late:
             subrequest.hedge_at = self._deadline
-            if len(subrequest.sent_to) >= self._max_attempts:
-                continue
-            self._hedge_subrequest(subrequest)
+            if len(subrequest.sent_to) < self._max_attempts:
+                self._hedge(subrequest)
 
-    def _hedge_subrequest(self, subrequest: SubRequest) -> None:
+    def _hedge(self, subrequest: SubRequest) -> None:
         late = next(iter(subrequest.numbers_by_attempt), None)
         searcher = late.searcher.searcher_id if late else NO_SEARCHER
         budget = self._context.retry_policy.budget(subrequest.service)
@@ -200,12 +246,6 @@
         else:
             self._add_step(subrequest, searcher, 'late, no budget for a hedge')
 
-    def _add_step(
-        self, subrequest: SubRequest, searcher: SearcherId, event: str
-    ) -> None:
-        elapsed = self._clock.monotonic() - self._call.received_at
-        self._trail.add(Step(elapsed, subrequest.service, searcher, event))
-
     def _handle_result(self, attempt: Attempt, outcome: AttemptResult) -> None:
         subrequest, stats = self._in_flight[attempt]
         record_result(self._context, self._hedge_delay, attempt, stats, outcome)
@@ -218,28 +258,27 @@
         rule = rule_for(self._route.retry_safety, outcome)
         subrequest.may_have_run |= rule.may_have_run
         if isinstance(outcome, Reply) and outcome.is_success:
-            self._succeed(subrequest, outcome)
+            subrequest.success = outcome
+            subrequest.has_ended = True
+            for other in tuple(subrequest.numbers_by_attempt):
+                self._release(other)
             return
         subrequest.record_failure(outcome)
         self._add_step(subrequest, outcome.searcher, describe_result(outcome))
-        if not rule.may_retry:
+        if rule.may_retry and subrequest.numbers_by_attempt:
+            return
+        # The attempt may end at once, and the subrequest with it.
+        if not (
+            self._may_retry(subrequest, rule) and self._send_next(subrequest)
+        ):
             subrequest.has_ended = True
-        elif not subrequest.numbers_by_attempt:
-            self._retry(subrequest, is_budget_exempt=rule.is_budget_exempt)
 
-    def _retry(self, subrequest: SubRequest, *, is_budget_exempt: bool) -> None:
+    def _may_retry(self, subrequest: SubRequest, rule: RetryRule) -> bool:
+        if not rule.may_retry or rule.is_budget_exempt:
+            return rule.may_retry
         budget = self._context.retry_policy.budget(subrequest.service)
         has_attempts = len(subrequest.sent_to) < self._max_attempts
-        may_retry = is_budget_exempt or (has_attempts and budget.spend())
-        # The attempt may end at once, and the subrequest with it.
-        if not (may_retry and self._send_next(subrequest)):
-            subrequest.has_ended = True
-
-    def _succeed(self, subrequest: SubRequest, reply: Reply) -> None:
-        subrequest.success = reply
-        subrequest.has_ended = True
-        for attempt in tuple(subrequest.numbers_by_attempt):
-            self._release(attempt)
+        return has_attempts and budget.spend()
 
     def _release(
         self,
@@ -265,6 +304,18 @@
         transport.release_connection(attempt)
 
 
+def _add_step(
+    trail: Trail,
+    call: Call,
+    clock: Clock,
+    subrequest: SubRequest,
+    searcher: SearcherId,
+    event: str,
+) -> None:
+    elapsed = clock.monotonic() - call.received_at
+    trail.add(Step(elapsed, subrequest.service, searcher, event))
+
+
 def _late_after(
     hedge_delay: HedgeDelay, stats: SearcherStats, attempt: Attempt
 ) -> float:
--- a/basilwall/forwarding/execution_test.py
+++ b/basilwall/forwarding/execution_test.py
@@ -1,5 +1,7 @@
 """Tests of the attempts of one request."""
 
+import pytest
+
 from basilwall.forwarding.completion import SingleCompletion
 from basilwall.forwarding.context import ForwardingContext
 from basilwall.forwarding.execution import RequestExecution
@@ -94,17 +96,21 @@
 
 
 class DetectorStub:
-    """Ignores outcomes."""
+    """Ignores outcomes; `suspects` every content if set."""
+
+    suspects = False
 
     def is_quarantined(self, call):
         return False
 
+    def is_suspected(self, _):
+        return self.suspects
+
     def note_outcome(self, *_):
         """Do nothing."""
 
 
-def test_a_request_whose_attempts_are_lost_at_once_does_not_wait():
-    clock = ManualClock()
+def make_execution(clock, subrequests, detector):
     now = clock.monotonic()
     call = Call(b'GET', b'/a/', 'h', b'1', b'', b'', now, now + 2)
     waiter = ImmediateWaiter(clock)
@@ -113,15 +119,34 @@
         SelectorStub(clock),
         TransportStub(),
         RetryPolicy(lambda: BOUNDS, lambda: 8, clock),
-        DetectorStub(),
+        detector,
         clock,
     )
-    subrequest = SubRequest('s', 0)
     execution = RequestExecution(
-        call, ROUTE, [subrequest], context, waiter, Trail()
+        call, ROUTE, subrequests, context, waiter, Trail()
     )
     assert execution.admit(1)
     execution.run(SingleCompletion(call, ROUTE))
+    return waiter
+
+
+def test_a_request_whose_attempts_are_lost_at_once_does_not_wait():
+    subrequest = SubRequest('s', 0)
+    waiter = make_execution(ManualClock(), [subrequest], DetectorStub())
     assert len(subrequest.sent_to) == 2
     assert subrequest.has_ended
     assert not waiter.waits
+
+
+@pytest.mark.parametrize('is_suspected', [True, False])
+def test_a_suspected_content_ends_one_searcher_and_not_one_a_shard(
+    is_suspected,
+):
+    subrequests = [SubRequest(f's{number}', 0) for number in range(4)]
+    detector = DetectorStub()
+    detector.suspects = is_suspected
+    make_execution(ManualClock(), subrequests, detector)
+    sent = sum(len(subrequest.sent_to) for subrequest in subrequests)
+    expected = 1 if is_suspected else 8
+    assert sent == expected
+    assert all(subrequest.has_ended for subrequest in subrequests)
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -25,7 +25,7 @@
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.forwarding.transport import CallerLeftError
 from basilwall.records.forwarding import Answer, Call, Verdict
-from basilwall.records.ids import ServiceName
+from basilwall.records.ids import NO_ROUTE, ServiceName
 from basilwall.records.routes import RetrySafety, Route, RouteTable
 from basilwall.relaying.relay import Relay, RelayRequest
 from basilwall.routing.weighted_round_robin import WeightedRoundRobin
@@ -81,13 +81,15 @@
             answer,
             table_version=table.version if table else 0,
             waited_until=trail.waited_until,
+            route=route.name if route else NO_ROUTE,
         )
 
     def record_sent(self, answer: Answer) -> None:
         """Record that an answer was sent to its caller."""
         if answer.waited_until is not None:
             now = self._context.clock.monotonic()
-            self._context.return_time.observe(now - answer.waited_until)
+            return_time = self._context.return_times.of(answer.route)
+            return_time.observe(now - answer.waited_until)
 
     def _answer(
         self,
@@ -152,7 +154,7 @@
                 Verdict.NO_SEARCHER, execution.subrequests, needed
             )
         with _release_at_exit(execution):
-            return_seconds = self._context.return_time.expected
+            return_seconds = self._context.return_times.of(route.name).expected
             execution.run(_completion_policy(call, route, return_seconds))
             trail.waited_until = self._context.clock.monotonic()
             reached = {
--- a/basilwall/forwarding/reporting.py
+++ b/basilwall/forwarding/reporting.py
@@ -11,13 +11,17 @@
 from dataclasses import dataclass
 
 from basilwall.records.forwarding import Answer, Call
-from basilwall.records.ids import RouteName, SearcherId, ServiceName
+from basilwall.records.ids import (
+    NO_ROUTE,
+    RouteName,
+    SearcherId,
+    ServiceName,
+)
 from basilwall.records.routes import Route, RouteTable
 
 MS_PER_SECOND = 1000
 #: Longest trail that is logged, in steps; a request rarely has more.
 MAX_TRAIL_STEPS = 24
-NO_ROUTE = RouteName('')
 
 _log = logging.getLogger(__name__)
 
--- a/basilwall/forwarding/return_time.py
+++ b/basilwall/forwarding/return_time.py
@@ -7,6 +7,8 @@
 
 import threading
 
+from basilwall.records.ids import RouteName
+
 #: Assumed before the first answer.
 INITIAL_SECONDS = 0.005
 #: Weights of the latest time in its moving average, and in the average of its
@@ -15,6 +17,8 @@
 DEVIATION_SMOOTHING_FACTOR = 0.25
 #: How many deviations above the mean are expected.
 DEVIATIONS = 2.0
+#: Entries kept for routes; all are cleared at this count.
+MAX_ENTRIES = 4096
 
 
 class ReturnTime:
@@ -43,3 +47,22 @@
             self._deviation += DEVIATION_SMOOTHING_FACTOR * (
                 abs(error) - self._deviation
             )
+
+
+class ReturnTimes:
+    """The return time of each route; answers differ in their size."""
+
+    def __init__(self) -> None:
+        self._by_route: dict[RouteName, ReturnTime] = {}
+        self._lock = threading.Lock()
+
+    def of(self, route: RouteName) -> ReturnTime:
+        """Return the return time of a route."""
+        with self._lock:
+            existing = self._by_route.get(route)
+            if existing is None:
+                if len(self._by_route) >= MAX_ENTRIES:
+                    self._by_route.clear()
+                existing = ReturnTime()
+                self._by_route[route] = existing
+        return existing
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from basilwall.records.ids import SearcherId
+from basilwall.records.ids import NO_ROUTE, RouteName, SearcherId
 
 #: Names and values of headers in their order on the wire.
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -158,7 +158,8 @@
     `retry_after` is in seconds, None if a retry would not help.
     `table_version` is that of the route table that it follows, 0 for none.
     `waited_until` is when its request stopped waiting for searchers, in
-    monotonic seconds, None if it did not wait.
+    monotonic seconds, None if it did not wait. `route` is empty if there was
+    none.
     """
 
     verdict: Verdict
@@ -170,4 +171,5 @@
     missing_shards: int = 0
     table_version: int = 0
     waited_until: float | None = None
+    route: RouteName = NO_ROUTE
     signatures: tuple[bytes, ...] = field(default=())
--- a/basilwall/records/ids.py
+++ b/basilwall/records/ids.py
@@ -39,5 +39,6 @@
 
 #: Name of a route, unique within one table.
 RouteName = NewType('RouteName', str)
+NO_ROUTE = RouteName('')
 #: Identifies one searcher; addresses are reused, this is not.
 SearcherId = NewType('SearcherId', str)
--- a/basilwall/simulation/no_crashes.py
+++ b/basilwall/simulation/no_crashes.py
@@ -12,6 +12,10 @@
         """Return False."""
         return False
 
+    def is_suspected(self, call: Call) -> bool:
+        """Return False."""
+        return False
+
     def quarantine_seconds_left(self, call: Call) -> float:
         """Return 0."""
         return 0
