--- a/basilwall/fleet/relay_delay_test.py
+++ b/basilwall/fleet/relay_delay_test.py
@@ -73,12 +73,8 @@
         return WatchReply(2, values, is_whole=not after)
 
 
-def test_a_large_table_reaches_a_zone_over_a_narrow_link_in_time():
-    clock = ManualClock()
-    membership = Membership(Member('10.0.0.1:1', 'a', 'zone'), clock)
-    register = RevisionRegister()
-    store = FixedStore(large_table())
-    reader = RelayedReader(
+def make_reader(store, membership, clock):
+    return RelayedReader(
         store,
         membership,
         LOCATION,
@@ -86,6 +82,14 @@
         may_relay=True,
         client=ChangeClient(),
     )
+
+
+def test_a_large_table_reaches_a_zone_over_a_narrow_link_in_time():
+    clock = ManualClock()
+    membership = Membership(Member('10.0.0.1:1', 'a', 'zone'), clock)
+    register = RevisionRegister()
+    store = FixedStore(large_table())
+    reader = make_reader(store, membership, clock)
     watch = PlatformWatch(reader, register, clock, random.Random(1))
     freshness = StoreFreshness(watch, reader, clock)
     server = ChangeServer(register, watch, freshness, clock, lambda: True)
@@ -147,14 +151,7 @@
     for member in members:
         membership.record_contact(member)
     store = FixedStore(b'new')
-    reader = RelayedReader(
-        store,
-        membership,
-        LOCATION,
-        clock,
-        may_relay=True,
-        client=ChangeClient(),
-    )
+    reader = make_reader(store, membership, clock)
     began = time.monotonic()
     reply = reader.watch(1)
     assert time.monotonic() - began < BOUND_SECONDS
