Answer connections that a planned stop finds accepted but not yet read

Cause: after it refused new connections the server waited 20 ms, looked for replies that were not sent, and closed all. The server's loop accepts one connection in an iteration and reads it in a later one, so connections that it had not accepted by then, or whose request it had not read, were cut off.

Now the end is decided in the loop itself: nothing is waiting in the backlog or unread at a connection, no request is read in part, and no new connection is still without its first request, for 3 s at most as before.

Ruled out: the wait for the balancer and the limit of the stop, which had not passed; resets by the kernel, which the test counts apart from an empty answer.

Soak: a run that has sent fewer than 301 requests goes on with faults, up to six times as long. The check of more than 300 requests stays.

--- a/basilwall/caller/server.py
+++ b/basilwall/caller/server.py
@@ -1,9 +1,11 @@
 """The HTTP server for callers, built on waitress."""
 
+import logging
+import select
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -30,6 +32,8 @@
 #: Longest wait for the replies to the last accepted connections.
 FINAL_REPLIES_SECONDS = 3.0
 
+_log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class ListenConfig:
@@ -69,8 +73,22 @@
         #: When the lingering connection is closed, in monotonic seconds; 0 if
         #: it does not linger.
         self.linger_ends_at: float = 0
+        self.has_received = False
         super().__init__(*connection, **options)
 
+    @property
+    def is_settled(self) -> bool:
+        """True if no reply is due: none is unsent and no request is awaited."""
+        if self.linger_ends_at:
+            return True
+        is_awaited = self.request is not None or not self.has_received
+        return not (is_awaited or self.requests or self.total_outbufs_len)
+
+    def received(self, received_bytes: bytes) -> bool:
+        """Take bytes of the caller; see the base class."""
+        self.has_received = True
+        return bool(super().received(received_bytes))
+
     def handle_close(self) -> None:
         """Close the sending side; close the connection at the second call."""
         if self.linger_ends_at or not self._shut_down_writing():
@@ -139,15 +157,20 @@
         return False
 
     def drain_backlog(self) -> None:
-        """Refuse new connections and answer those already in the backlog."""
+        """Refuse new connections and answer those already accepted.
+
+        These include connections that the server's loop has not yet taken from
+        the backlog, and those whose request has not yet arrived.
+        """
         server: Any = self._server
         refuse_new_connections(server.socket)
         pause = threading.Event()
-        for _ in range(int(FINAL_REPLIES_SECONDS / POLL_INTERVAL_SECONDS)):
-            # The loop accepts waiting connections within one iteration.
+        ends_at = time.monotonic() + FINAL_REPLIES_SECONDS
+        while time.monotonic() < ends_at:
+            if self._is_true_in_loop(self._is_settled, ends_at):
+                return
             pause.wait(POLL_INTERVAL_SECONDS)
-            if not self._has_unsent_replies():
-                break
+        _log.info('connections closed at the limit of a stop')
 
     def close(self) -> None:
         """Close the listener and all connections, which ends the loop."""
@@ -156,6 +179,33 @@
             lambda: server.asyncore.close_all(server._map, ignore_all=True),
         )
 
+    def _is_true_in_loop(
+        self, condition: Callable[[], bool], ends_at: float
+    ) -> bool:
+        """Evaluate a condition between two iterations of the server's loop."""
+        server: Any = self._server
+        is_evaluated = threading.Event()
+        found = []
+
+        def evaluate() -> None:
+            found.append(condition())
+            is_evaluated.set()
+
+        server.trigger.pull_trigger(evaluate)
+        is_evaluated.wait(max(ends_at - time.monotonic(), 0))
+        return any(found)
+
+    def _is_settled(self) -> bool:
+        """Return whether no connection has a request or a reply under way."""
+        server: Any = self._server
+        channels = tuple(server.active_channels.values())
+        if not all(channel.is_settled for channel in channels):
+            return False
+        poll = select.poll()
+        for polled in (server, *channels):
+            poll.register(polled.socket, select.POLLIN)
+        return not poll.poll(0)
+
     def _has_unsent_replies(self) -> bool:
         by_descriptor: Any = self._server.active_channels
         channels = tuple(by_descriptor.values())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -39,6 +39,8 @@
 #: The time that the platform gives a process to stop gracefully.
 STOP_GRACE_SECONDS = 6
 MAX_RESERVED_VMS = 2
+#: A run takes this many times its time at most to get enough requests.
+MAX_EXTENSION = 6
 
 
 class FaultSet(Enum):
@@ -97,10 +99,20 @@
         if not planned_only:
             self._actions = planned + unplanned
 
-    def run(self, seconds):
-        """Start actions for a time, then wait until all have ended."""
-        ends_at = time.monotonic() + seconds
-        while time.monotonic() < ends_at:
+    def run(self, seconds, has_enough_requests):
+        """Start actions, then wait until all have ended.
+
+        Args:
+            seconds: The least time for which actions are started.
+            has_enough_requests: On a slow machine, actions go on until it
+                returns True, for `MAX_EXTENSION` times as long at most.
+        """
+        started_at = time.monotonic()
+        ends_at = started_at + seconds
+        latest_end_at = started_at + seconds * MAX_EXTENSION
+        while time.monotonic() < ends_at or (
+            time.monotonic() < latest_end_at and not has_enough_requests()
+        ):
             action = self._rng.choice(self._actions)
             thread = threading.Thread(target=self._run_action, args=(action,))
             thread.start()
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,8 @@
 READY_TIMEOUT_SECONDS = 20
 #: Requests and probes go on this long after the last fault.
 FINAL_CHECK_SECONDS = 1.5
+#: A run with fewer requests shows little, so it goes on until it has them.
+ENOUGH_REQUESTS = 301
 
 
 @dataclass
@@ -39,7 +41,8 @@
 
     Args:
         seed: Seeds all random draws; a multiple of 3 injects no faults.
-        seconds: Time for which actions are started.
+        seconds: Time for which actions are started, longer if the callers have
+            sent fewer than `ENOUGH_REQUESTS` by then.
         vms: Number of VMs.
         fault_set: The faults to draw from.
 
@@ -72,7 +75,13 @@
         for thread in threads:
             thread.start()
         injector = FaultInjector(deployment, seed, planned_only, fault_set)
-        injector.run(seconds)
+        injector.run(
+            seconds,
+            lambda: (
+                sum(len(caller.sent_requests) for caller in callers)
+                >= ENOUGH_REQUESTS
+            ),
+        )
         time.sleep(FINAL_CHECK_SECONDS)
         stop_requested.set()
         for thread in threads:
