Read what has arrived before a stop closes a connection as idle

What callers could see: during the planned stop of an entry VM, once it closed idle connections, a connection whose request had arrived but was not yet read was closed without a byte; so was every connection that was accepted from the backlog in that phase. The same held at the idle timeout of a connection.

Cause: the reader decided that a connection is idle before it looked for bytes.

Now a connection is closed only if nothing waits to be read, and a new one only 0.4 s after it was opened, which is within the 1 s that a stop leaves for the last connections.

--- a/basilwall/ingress/reading.py
+++ b/basilwall/ingress/reading.py
@@ -15,6 +15,9 @@
 MS_PER_SECOND = 1000
 #: Longest single wait for bytes, so that a planned stop is noticed.
 MAX_WAIT_SECONDS = 0.5
+#: A new connection is not idle before this time, as its request may be under
+#: way; less than a planned stop leaves for the last connections.
+FIRST_REQUEST_SECONDS = 0.4
 HTTP_BAD_REQUEST = 400
 HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
@@ -71,6 +74,7 @@
         self._poll.register(caller, select.POLLIN)
         self._head_started_at: float | None = None
         self._received_at = clock.monotonic()
+        self._opened_at = self._received_at
         self.http = self._new_http()
 
     def next_request(self) -> CompleteRequest | BadRequest:
@@ -174,9 +178,16 @@
                     HTTP_TIMEOUT,
                     f'the head took longer than {limits.header_timeout} s',
                 )
-        elif self._is_closing() or now >= idle_until:
+        elif self._may_close(now, idle_until):
             raise CallerGoneError
 
+    def _may_close(self, now: float, idle_until: float) -> bool:
+        """Return whether a connection without a request may be closed."""
+        is_new = now < self._opened_at + FIRST_REQUEST_SECONDS
+        is_due = now >= idle_until or (self._is_closing() and not is_new)
+        # A request may have arrived since the last read.
+        return is_due and not self._poll.poll(0)
+
     def _check_body_time(self, ends_at: float) -> None:
         if self._clock.monotonic() > ends_at:
             raise _UnreadableRequestError(
