Hold back hedges and retries of a query until a searcher has answered it

Now, until a searcher has answered the content of a query: one shard is hedged; a lost shard waits for the answers of the others; if all are lost one is retried alone, and none of the others if that one is lost too. An answer lets all go on at once, and no wait is longer than 0.3 s. Requests to one service are as before.

Closing its connection does not save a searcher that runs the content.

--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -11,10 +11,17 @@
 
 from basilwall.forwarding.completion import CompletionPolicy
 from basilwall.forwarding.context import ForwardingContext, record_result
+from basilwall.forwarding.extra_attempt_canary import (
+    NO_SEARCHER,
+    ExtraAttemptCanary,
+)
 from basilwall.forwarding.reporting import Step, Trail
 from basilwall.forwarding.retry_policy import RETRY_RESERVE_RATIO
 from basilwall.forwarding.retry_rules import (
+    RULES_BY_RETRY_SAFETY,
+    ResultKind,
     RetryRule,
+    classify,
     describe_result,
     rule_for,
 )
@@ -36,7 +43,7 @@
 MAX_UNREACHABLE = 8
 #: An attempt with less time left until the deadline is not sent.
 MIN_ATTEMPT_SECONDS = 0.005
-NO_SEARCHER = SearcherId('')
+
 
 FirstAttempts = list[tuple[SubRequest, SearcherStats]]
 
@@ -69,6 +76,13 @@
         self._may_hedge = route.retry_safety is RetrySafety.IDEMPOTENT
         self._in_flight: dict[Attempt, tuple[SubRequest, SearcherStats]] = {}
         self._first_choices: Sequence[SearcherStats | None] = ()
+        lost_rule = RULES_BY_RETRY_SAFETY[route.retry_safety][ResultKind.LOST]
+        self._canary = ExtraAttemptCanary(
+            partial(self._retry, rule=lost_rule),
+            self._in_flight,
+            partial(_add_step, trail, call, context.clock),
+            context.clock,
+        )
         self._max_attempts = route.max_attempts
         if call.max_attempts is not None:
             self._max_attempts = min(route.max_attempts, call.max_attempts)
@@ -164,12 +178,15 @@
         Args:
             until: When to return without results, in monotonic seconds.
         """
+        self._canary.settle()
         hedges = [
             candidate.hedge_at
             for candidate in self.subrequests
-            if candidate.is_open
+            if candidate.is_open and self._canary.may_hedge
         ]
-        seconds = min(until, *hedges) - self._clock.monotonic()
+        seconds = (
+            min(until, self._canary.late_at, *hedges) - self._clock.monotonic()
+        )
         has_results = False
         for attempt, outcome in self._waiter.wait(seconds):
             self._handle_result(attempt, outcome)
@@ -224,6 +241,8 @@
             if subrequest.is_open and subrequest.hedge_at <= now
         ]
         for subrequest in late:
+            if not self._canary.may_hedge:
+                return
             subrequest.hedge_at = self._deadline
             if len(subrequest.sent_to) < self._max_attempts:
                 self._hedge(subrequest)
@@ -242,6 +261,8 @@
             )
         elif budget.spend(RETRY_RESERVE_RATIO) and self._send_next(subrequest):
             self._trail.hedges += 1
+            if len(self.subrequests) > 1:
+                self._canary.note_hedge()
             self._add_step(subrequest, searcher, 'late, hedged')
         else:
             self._add_step(subrequest, searcher, 'late, no budget for a hedge')
@@ -262,23 +283,29 @@
             subrequest.has_ended = True
             for other in tuple(subrequest.numbers_by_attempt):
                 self._release(other)
+            self._canary.note_answer()
             return
         subrequest.record_failure(outcome)
         self._add_step(subrequest, outcome.searcher, describe_result(outcome))
         if rule.may_retry and subrequest.numbers_by_attempt:
             return
+        is_lost = classify(outcome) is ResultKind.LOST
+        if is_lost and rule.may_retry and len(self.subrequests) > 1:
+            self._canary.note_loss(subrequest)
+            return
         # The attempt may end at once, and the subrequest with it.
-        if not (
-            self._may_retry(subrequest, rule) and self._send_next(subrequest)
-        ):
+        if not self._retry(subrequest, rule):
             subrequest.has_ended = True
+        self._canary.note_failure(subrequest)
 
-    def _may_retry(self, subrequest: SubRequest, rule: RetryRule) -> bool:
-        if not rule.may_retry or rule.is_budget_exempt:
-            return rule.may_retry
-        budget = self._context.retry_policy.budget(subrequest.service)
+    def _retry(self, subrequest: SubRequest, rule: RetryRule) -> bool:
+        """Send a further attempt; False if none is possible or allowed."""
+        if not rule.may_retry:
+            return False
         has_attempts = len(subrequest.sent_to) < self._max_attempts
-        return has_attempts and budget.spend()
+        budget = self._context.retry_policy.budget(subrequest.service)
+        is_paid = rule.is_budget_exempt or (has_attempts and budget.spend())
+        return is_paid and self._send_next(subrequest)
 
     def _release(
         self,
--- /dev/null
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -0,0 +1,139 @@
+"""Holds back hedges and retries of a query until a searcher has answered it.
+
+The first attempts of a query reach a searcher of each shard at the same
+moment, so a content that crashes searchers may end one of each, and with hedges
+and retries a second one, before any VM has a verdict on it. So until a searcher
+has answered the content:
+
+- one shard is hedged, the others are not;
+- a shard whose connection was lost waits for the answers of the others;
+- if all were lost, one is retried alone, as a canary. If its connection is lost
+  too, none of the others is retried.
+"""
+
+import math
+from collections.abc import Callable, Sized
+from enum import Enum
+
+from basilwall.forwarding.subrequest import SubRequest
+from basilwall.parts.clock import Clock
+from basilwall.records.ids import SearcherId
+
+#: Longest wait for an answer; a searcher that is only paused is back by then.
+MAX_HOLD_SECONDS = 0.3
+NO_SEARCHER = SearcherId('')
+
+
+class _State(Enum):
+    """What is known of the content from the attempts of this request."""
+
+    UNKNOWN = 'unknown'
+    TRYING = 'trying'
+    HARMLESS = 'harmless'
+    HARMFUL = 'harmful'
+
+
+class ExtraAttemptCanary:
+    """Decides which further attempts of one request have to wait.
+
+    `late_at` is when the longest wait ends, in monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        retry: Callable[[SubRequest], bool],
+        in_flight: Sized,
+        add_step: Callable[[SubRequest, SearcherId, str], None],
+        clock: Clock,
+    ) -> None:
+        """Make the canary of one request.
+
+        Args:
+            retry: Sends a further attempt; returns False if none is possible.
+            in_flight: The attempts in flight.
+            add_step: Adds a decision to the trail of the request.
+            clock: Tells when the longest wait ends.
+        """
+        self.late_at = math.inf
+        self._retry = retry
+        self._in_flight = in_flight
+        self._add_step = add_step
+        self._clock = clock
+        self._state = _State.UNKNOWN
+        self._canary: SubRequest | None = None
+        self._held: list[SubRequest] = []
+
+    @property
+    def may_hedge(self) -> bool:
+        """False while the content may prove to crash searchers."""
+        is_waiting = self.late_at < math.inf
+        return self._state is _State.HARMLESS or (
+            self._state is _State.UNKNOWN and not is_waiting
+        )
+
+    def note_hedge(self) -> None:
+        """Hold back further hedges."""
+        if self._state is _State.UNKNOWN:
+            self._wait()
+
+    def note_loss(self, subrequest: SubRequest) -> None:
+        """Retry a subrequest, hold it back or give it up.
+
+        Args:
+            subrequest: Its connection was lost; it has no attempt in flight.
+        """
+        if self._state is _State.HARMLESS:
+            self._retry_or_end(subrequest)
+            return
+        self._held.append(subrequest)
+        if self._state is _State.HARMFUL or subrequest is self._canary:
+            self._state, self.late_at = _State.HARMFUL, math.inf
+            for held in self._take_held():
+                held.has_ended = True
+                self._add_step(held, NO_SEARCHER, 'not retried, canary lost')
+        elif self._state is _State.UNKNOWN:
+            self._wait()
+
+    def note_answer(self) -> None:
+        """Let all go on, as a searcher has run the content and answered."""
+        if self._state is not _State.HARMFUL:
+            self._pass()
+
+    def note_failure(self, subrequest: SubRequest) -> None:
+        """Choose another canary if this one has ended without an answer."""
+        is_canary = subrequest is self._canary
+        if self._state is _State.TRYING and is_canary and subrequest.has_ended:
+            self._state = _State.UNKNOWN
+
+    def settle(self) -> None:
+        """Act on what is known; called after each group of results."""
+        is_late = self._clock.monotonic() >= self.late_at
+        if is_late and (self._state is _State.TRYING or not self._held):
+            self._pass()
+        elif is_late or not self._in_flight:
+            self._try_next()
+
+    def _try_next(self) -> None:
+        """Retry the first of those held back that can be retried."""
+        while self._held and self._state is _State.UNKNOWN:
+            self._canary = self._held.pop(0)
+            self._wait()
+            self._state = _State.TRYING
+            self._retry_or_end(self._canary)
+            self.note_failure(self._canary)
+
+    def _wait(self) -> None:
+        self.late_at = self._clock.monotonic() + MAX_HOLD_SECONDS
+
+    def _pass(self) -> None:
+        self._state, self.late_at = _State.HARMLESS, math.inf
+        for subrequest in self._take_held():
+            self._retry_or_end(subrequest)
+
+    def _retry_or_end(self, subrequest: SubRequest) -> None:
+        if not self._retry(subrequest):
+            subrequest.has_ended = True
+
+    def _take_held(self) -> list[SubRequest]:
+        held, self._held = self._held, []
+        return held
