--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -80,8 +80,9 @@
         self._canary = ExtraAttemptCanary(
             partial(self._retry, rule=lost_rule),
             self._in_flight,
-            partial(_add_step, trail, call, context.clock),
+            self._add_step,
             context.clock,
+            is_scattered=len(subrequests) > 1,
         )
         self._max_attempts = route.max_attempts
         if call.max_attempts is not None:
@@ -261,8 +262,7 @@
             )
         elif budget.spend(RETRY_RESERVE_RATIO) and self._send_next(subrequest):
             self._trail.hedges += 1
-            if len(self.subrequests) > 1:
-                self._canary.note_hedge()
+            self._canary.note_hedge()
             self._add_step(subrequest, searcher, 'late, hedged')
         else:
             self._add_step(subrequest, searcher, 'late, no budget for a hedge')
@@ -290,7 +290,7 @@
         if rule.may_retry and subrequest.numbers_by_attempt:
             return
         is_lost = classify(outcome) is ResultKind.LOST
-        if is_lost and rule.may_retry and len(self.subrequests) > 1:
+        if is_lost and rule.may_retry:
             self._canary.note_loss(subrequest)
             return
         # The attempt may end at once, and the subrequest with it.
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -45,6 +45,8 @@
         in_flight: Sized,
         add_step: Callable[[SubRequest, SearcherId, str], None],
         clock: Clock,
+        *,
+        is_scattered: bool,
     ) -> None:
         """Make the canary of one request.
 
@@ -53,13 +55,15 @@
             in_flight: The attempts in flight.
             add_step: Adds a decision to the trail of the request.
             clock: Tells when the longest wait ends.
+            is_scattered: Whether the request goes to more than one service;
+                nothing is held back if not.
         """
         self.late_at = math.inf
         self._retry = retry
         self._in_flight = in_flight
         self._add_step = add_step
         self._clock = clock
-        self._state = _State.UNKNOWN
+        self._state = _State.UNKNOWN if is_scattered else _State.HARMLESS
         self._canary: SubRequest | None = None
         self._held: list[SubRequest] = []
 
--- a/basilwall/forwarding/extra_attempt_canary_test.py
+++ b/basilwall/forwarding/extra_attempt_canary_test.py
@@ -25,6 +25,7 @@
             self.in_flight,
             lambda *step: self.steps.append(step),
             self.clock,
+            is_scattered=True,
         )
 
     def lose(self, *subrequests):
