--- a/tests/bad_input_test.py
+++ b/tests/bad_input_test.py
@@ -49,7 +49,9 @@
     try:
         for peer in slow:
             peer.sendall(b'POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n1')
-        assert send_request(address, 'POST', QUERY, b'{}', HEADERS).status == 200
+        assert (
+            send_request(address, 'POST', QUERY, b'{}', HEADERS).status == 200
+        )
     finally:
         for peer in slow:
             peer.close()
