Send canaries to the shard that lost the fewest, and the first hedge later

Cause, from the logs: queries of two VMs at once. One hedges a shard 33 ms after it began, before any loss is known; the other VM's repeat, a suspected content, goes to the first shard of its list, the same one, as canaries always did.

Now a canary goes to the shard with the fewest strikes under the content, and requests choose differently among equals; a query without any answer hedges its one shard 80 ms later than one with an answer. Also mended: a suspected content that lost its searcher was answered up to 250 ms late, as the run waited with nothing in flight (seen in the same log: lost at 79 ms, answered at 329 ms).

Tests: crash_detection_test (two cases; no such choice existed before), extra_attempt_canary_test, execution_test (waits, failed before).

--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -12,8 +12,10 @@
 import itertools
 import logging
 import threading
+import zlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 
@@ -59,6 +61,18 @@
     def is_suspected(self, call: Call) -> bool:
         """Return whether searchers were lost under a request's content."""
 
+    @abstractmethod
+    def least_struck(self, call: Call, services: Sequence[ServiceName]) -> int:
+        """Return which service lost the fewest searchers under a content.
+
+        Args:
+            call: A request with the content.
+            services: The services to choose from.
+
+        Returns:
+            An index of `services`. Requests choose differently among equals.
+        """
+
     @abstractmethod
     def quarantine_seconds_left(self, call: Call) -> float:
         """Return how long the content stays in quarantine, in seconds."""
@@ -134,6 +148,19 @@
         """Return whether searchers were lost under a request's content."""
         return self._suspicion_of(call) is Suspicion.SUSPECT
 
+    def least_struck(self, call: Call, services: Sequence[ServiceName]) -> int:
+        """Return which service lost the fewest searchers under a content."""
+        entry = self._quarantine.entry_of(fingerprint_of(call))
+        strikes = entry.all_strikes() if entry else ()
+        struck = Counter(dated.strike.service for dated in strikes)
+        fewest = min(struck[service] for service in services)
+        equals = [
+            index
+            for index, service in enumerate(services)
+            if struck[service] == fewest
+        ]
+        return equals[zlib.crc32(call.request_id) % len(equals)]
+
     def quarantine_seconds_left(self, call: Call) -> float:
         """Return how long the content stays in quarantine, in seconds."""
         return self._quarantine.seconds_left(fingerprint_of(call))
--- a/basilwall/forwarding/crash_detection_test.py
+++ b/basilwall/forwarding/crash_detection_test.py
@@ -1,6 +1,7 @@
 """Tests of the evidence that lost searchers give against requests."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -47,7 +48,7 @@
             random.Random(1),
             lambda addresses, _: set(addresses) & self.dead,
         )
-        self._detector = ProbingCrashDetector(
+        self.detector = ProbingCrashDetector(
             self.quarantine,
             classifier,
             InlineTasks(),
@@ -71,14 +72,14 @@
         for sent, one in requests:
             attempt = SimpleNamespace(searcher=one, sent_at=sent_at)
             outcome = Lost(one.searcher_id, LossReason.CUT)
-            self._detector.note_outcome(sent, attempt, outcome)
+            self.detector.note_outcome(sent, attempt, outcome)
         self.clock.advance(down_seconds)
         self.dead -= lost
 
     def answer(self, sent, one):
         reply = Reply(one.searcher_id, 200, b'', (), b'', b'signed', True)
         attempt = SimpleNamespace(searcher=one, sent_at=self.clock.monotonic())
-        self._detector.note_outcome(sent, attempt, reply)
+        self.detector.note_outcome(sent, attempt, reply)
 
     def is_quarantined(self):
         (entry,) = self.quarantine.entries()
@@ -192,3 +193,19 @@
         for entry in vm.quarantine.entries()
     ]
     assert suspicions.count(Suspicion.QUARANTINED) == 1
+
+
+def test_a_suspected_content_does_not_go_to_the_same_shard_again():
+    vm = Vm()
+    services = [f'shard-{number}' for number in range(4)]
+    for service in services[:3]:
+        vm.lose((call(), searcher(service, service, address=f'{service}:1')))
+    assert vm.detector.least_struck(call(), services) == 3
+
+
+def test_requests_of_a_content_choose_different_shards():
+    vm = Vm()
+    services = [f'shard-{number}' for number in range(4)]
+    repeats = [replace(call(), request_id=b'%d' % one) for one in range(40)]
+    chosen = {vm.detector.least_struck(repeat, services) for repeat in repeats}
+    assert chosen == set(range(4))
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -80,6 +80,7 @@
         self._canary = ExtraAttemptCanary(
             partial(self._retry, rule=lost_rule),
             self._in_flight,
+            partial(context.crash_detector.least_struck, call),
             self._add_step,
             context.clock,
             is_scattered=len(subrequests) > 1,
@@ -157,7 +158,9 @@
         Returns:
             Those that may get it now: the others if that one answered.
         """
-        subrequest, stats = first_attempts[0]
+        services = [subrequest.service for subrequest, _ in first_attempts]
+        index = self._context.crash_detector.least_struck(self._call, services)
+        subrequest, stats = first_attempts.pop(index)
         max_attempts, self._max_attempts = self._max_attempts, 1
         self._send(subrequest, stats)
         while subrequest.is_open and self._clock.monotonic() < self._deadline:
@@ -169,9 +172,9 @@
         end = 'answered' if has_answered else 'not answered'
         event = f'suspected content tried alone, {end}'
         self._add_step(subrequest, stats.searcher.searcher_id, event)
-        for untried, _ in first_attempts[1:]:
+        for untried, _ in first_attempts:
             untried.has_ended = not has_answered
-        return first_attempts[1:] if has_answered else []
+        return first_attempts if has_answered else []
 
     def _wait(self, until: float) -> None:
         """Handle the next results, or hedge what is late if none come.
@@ -180,14 +183,16 @@
             until: When to return without results, in monotonic seconds.
         """
         self._canary.settle()
+        if not self._in_flight:
+            return
+        hedge_wait = self._canary.hedge_wait
         hedges = [
-            candidate.hedge_at
+            candidate.hedge_at + hedge_wait
             for candidate in self.subrequests
-            if candidate.is_open and self._canary.may_hedge
+            if candidate.is_open
         ]
-        seconds = (
-            min(until, self._canary.late_at, *hedges) - self._clock.monotonic()
-        )
+        wake_at = min(until, self._canary.late_at, *hedges)
+        seconds = wake_at - self._clock.monotonic()
         has_results = False
         for attempt, outcome in self._waiter.wait(seconds):
             self._handle_result(attempt, outcome)
@@ -236,17 +241,12 @@
         return len(subrequest.unreachable) < MAX_UNREACHABLE
 
     def _hedge_late(self, now: float) -> None:
-        late = [
-            subrequest
-            for subrequest in self.subrequests
-            if subrequest.is_open and subrequest.hedge_at <= now
-        ]
-        for subrequest in late:
-            if not self._canary.may_hedge:
-                return
-            subrequest.hedge_at = self._deadline
-            if len(subrequest.sent_to) < self._max_attempts:
-                self._hedge(subrequest)
+        for subrequest in self.subrequests:
+            is_late = subrequest.hedge_at + self._canary.hedge_wait <= now
+            if subrequest.is_open and is_late:
+                subrequest.hedge_at = self._deadline
+                if len(subrequest.sent_to) < self._max_attempts:
+                    self._hedge(subrequest)
 
     def _hedge(self, subrequest: SubRequest) -> None:
         late = next(iter(subrequest.numbers_by_attempt), None)
--- a/basilwall/forwarding/execution_test.py
+++ b/basilwall/forwarding/execution_test.py
@@ -106,6 +106,9 @@
     def is_suspected(self, _):
         return self.suspects
 
+    def least_struck(self, *_):
+        return 0
+
     def note_outcome(self, *_):
         """Do nothing."""
 
@@ -145,7 +148,8 @@
     subrequests = [SubRequest(f's{number}', 0) for number in range(4)]
     detector = DetectorStub()
     detector.suspects = is_suspected
-    make_execution(ManualClock(), subrequests, detector)
+    waiter = make_execution(ManualClock(), subrequests, detector)
+    assert not waiter.waits
     sent = sum(len(subrequest.sent_to) for subrequest in subrequests)
     # Each shard loses one, and one more the shard that is retried first.
     expected = 1 if is_suspected else 5
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -5,22 +5,24 @@
 and retries a second one, before any VM has a verdict on it. So until a searcher
 has answered the content:
 
-- one shard is hedged, the others are not;
+- one shard is hedged, after some time, and the others are not;
 - a shard whose connection was lost waits for the answers of the others;
 - if all were lost, one is retried alone, as a canary. If its connection is lost
   too, none of the others is retried.
 """
 
 import math
-from collections.abc import Callable, Sized
+from collections.abc import Callable, Sequence, Sized
 from enum import Enum
 
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.parts.clock import Clock
-from basilwall.records.ids import SearcherId
+from basilwall.records.ids import SearcherId, ServiceName
 
 #: Longest wait for an answer; a searcher that is only paused is back by then.
 MAX_HOLD_SECONDS = 0.3
+#: Most runs that end their searcher have done so within this time.
+FIRST_HEDGE_WAIT_SECONDS = 0.08
 NO_SEARCHER = SearcherId('')
 
 
@@ -43,6 +45,7 @@
         self,
         retry: Callable[[SubRequest], bool],
         in_flight: Sized,
+        least_struck: Callable[[Sequence[ServiceName]], int],
         add_step: Callable[[SubRequest, SearcherId, str], None],
         clock: Clock,
         *,
@@ -53,6 +56,8 @@
         Args:
             retry: Sends a further attempt; returns False if none is possible.
             in_flight: The attempts in flight.
+            least_struck: Returns which service lost the fewest searchers under
+                the content, as an index.
             add_step: Adds a decision to the trail of the request.
             clock: Tells when the longest wait ends.
             is_scattered: Whether the request goes to more than one service;
@@ -61,6 +66,7 @@
         self.late_at = math.inf
         self._retry = retry
         self._in_flight = in_flight
+        self._least_struck = least_struck
         self._add_step = add_step
         self._clock = clock
         self._state = _State.UNKNOWN if is_scattered else _State.HARMLESS
@@ -68,12 +74,14 @@
         self._held: list[SubRequest] = []
 
     @property
-    def may_hedge(self) -> bool:
-        """False while the content may prove to crash searchers."""
+    def hedge_wait(self) -> float:
+        """For how long late attempts are not hedged yet, in seconds."""
+        if self._state is _State.HARMLESS:
+            return 0
         is_waiting = self.late_at < math.inf
-        return self._state is _State.HARMLESS or (
-            self._state is _State.UNKNOWN and not is_waiting
-        )
+        if is_waiting or self._state is not _State.UNKNOWN:
+            return math.inf
+        return FIRST_HEDGE_WAIT_SECONDS
 
     def note_hedge(self) -> None:
         """Hold back further hedges."""
@@ -118,9 +126,10 @@
             self._try_next()
 
     def _try_next(self) -> None:
-        """Retry the first of those held back that can be retried."""
+        """Retry the one of those held back whose shard lost the fewest."""
         while self._held and self._state is _State.UNKNOWN:
-            self._canary = self._held.pop(0)
+            services = [held.service for held in self._held]
+            self._canary = self._held.pop(self._least_struck(services))
             self._wait()
             self._state = _State.TRYING
             self._retry_or_end(self._canary)
--- a/basilwall/forwarding/extra_attempt_canary_test.py
+++ b/basilwall/forwarding/extra_attempt_canary_test.py
@@ -1,5 +1,7 @@
 """Tests of which parts of a query are hedged or retried, and when."""
 
+import math
+
 from basilwall.forwarding.extra_attempt_canary import (
     MAX_HOLD_SECONDS,
     ExtraAttemptCanary,
@@ -23,6 +25,7 @@
         self.canary = ExtraAttemptCanary(
             self._retry,
             self.in_flight,
+            lambda _: 0,
             lambda *step: self.steps.append(step),
             self.clock,
             is_scattered=True,
@@ -71,9 +74,9 @@
 
 def test_such_a_content_is_hedged_at_one_shard_only():
     query = Query()
-    assert query.canary.may_hedge
+    assert 0 < query.canary.hedge_wait < MAX_HOLD_SECONDS
     query.canary.note_hedge()
-    assert not query.canary.may_hedge
+    assert query.canary.hedge_wait == math.inf
 
 
 def test_after_an_outage_all_parts_are_retried_once_one_has_answered():
@@ -82,7 +85,7 @@
     assert query.retried == query.subrequests[:1]
     query.answer(query.subrequests[0])
     assert query.retried == query.subrequests
-    assert query.canary.may_hedge
+    assert not query.canary.hedge_wait
 
 
 def test_a_lost_part_is_retried_at_once_if_another_has_answered():
@@ -120,7 +123,7 @@
     assert query.retried == [first]
     query.clock.advance(MAX_HOLD_SECONDS)
     query.canary.settle()
-    assert query.canary.may_hedge
+    assert not query.canary.hedge_wait
 
 
 def test_another_part_goes_first_if_the_canary_has_no_searcher_left():
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -169,7 +169,7 @@
     def suspicion_of(self, fingerprint: Fingerprint) -> Suspicion:
         """Return how far a content is suspected of crashing searchers."""
         with self._lock:
-            entry = self._live_entry(fingerprint)
+            entry = self.entry_of(fingerprint)
             crashes = entry.crashes() if entry else []
             if not entry or not crashes:
                 return Suspicion.NONE
@@ -203,7 +203,7 @@
             The addresses of the searchers.
         """
         with self._lock:
-            entry = self._live_entry(fingerprint)
+            entry = self.entry_of(fingerprint)
             if entry is None:
                 return set()
             if include_cleared:
@@ -228,6 +228,12 @@
             return 0
         return max(entry.expires_at - self._clock.monotonic(), 0)
 
+    def entry_of(self, fingerprint: Fingerprint) -> ContentStrikes | None:
+        """Return the strikes against a content, None if there are none."""
+        entry = self._index.get(fingerprint)
+        is_live = entry and entry.expires_at > self._clock.monotonic()
+        return entry if is_live else None
+
     def entries(self) -> list[ContentStrikes]:
         """Return the entries that have not expired, newest last."""
         with self._lock:
@@ -258,11 +264,6 @@
         with self._lock:
             return entry.strikes_at(self._clock.monotonic())
 
-    def _live_entry(self, fingerprint: Fingerprint) -> ContentStrikes | None:
-        entry = self._index.get(fingerprint)
-        is_live = entry and entry.expires_at > self._clock.monotonic()
-        return entry if is_live else None
-
     def _has_other_cause(
         self, entry: ContentStrikes, crash: DatedStrike
     ) -> bool:
--- a/basilwall/simulation/no_crashes.py
+++ b/basilwall/simulation/no_crashes.py
@@ -1,8 +1,11 @@
 """Crash detection where no request crashes a searcher."""
 
+from collections.abc import Sequence
+
 from basilwall.forwarding.crash_detection import CrashDetector
 from basilwall.forwarding.transport import Attempt
 from basilwall.records.forwarding import AttemptResult, Call
+from basilwall.records.ids import ServiceName
 
 
 class NoCrashDetector(CrashDetector):
@@ -16,6 +19,10 @@
         """Return False."""
         return False
 
+    def least_struck(self, call: Call, services: Sequence[ServiceName]) -> int:
+        """Return the first."""
+        return 0
+
     def quarantine_seconds_left(self, call: Call) -> float:
         """Return 0."""
         return 0
