Start a loop that failed again, and accept connections when threads run out

What callers could see: one unexpected error in a long-running task ended that task for the life of its process, which went on without it: a VM that reads the store no more, tells others nothing, or, if no thread could be started for a connection, accepts none, while it still reports that it is ready. No such error is known in these loops; random and changed gossip messages are tested (gossip_messages_test), and documents (bad_input_test).

Now the loops that a VM can't do without start again 0.5 s later, with a log line, and a connection without a thread is closed with a log line.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -136,9 +136,9 @@
         clock,
         rng,
     )
-    tasks.start(partial(transport.superseded.run, tasks.stopping))
-    tasks.start(partial(links.run, tasks.stopping))
-    tasks.start(
+    tasks.start_loop(partial(transport.superseded.run, tasks.stopping))
+    tasks.start_loop(partial(links.run, tasks.stopping))
+    tasks.start_loop(
         partial(
             _run_housekeeping,
             (pools.close_idle, relay_connections.close_idle),
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -243,5 +243,12 @@
         caller.close()
         return True
     ingress.connections.add(caller)
-    tasks.start(partial(ingress.serve, caller))
+    try:
+        tasks.start(partial(ingress.serve, caller))
+    except RuntimeError as error:
+        _log.warning(
+            'connection closed, no thread', extra={'error': str(error)}
+        )
+        ingress.connections.discard(caller)
+        caller.close()
     return True
--- a/basilwall/parts/tasks.py
+++ b/basilwall/parts/tasks.py
@@ -10,9 +10,12 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
+from functools import partial
 
 #: Threads are started on demand; this bounds their number.
 MAX_TASKS = 4096
+#: Pause before a loop that failed starts again.
+RESTART_PAUSE_SECONDS = 0.5
 
 _log = logging.getLogger(__name__)
 
@@ -43,6 +46,19 @@
         future.add_done_callback(_log_failure)
         return future
 
+    def start_loop(self, loop: Callable[[], None]) -> Future[None]:
+        """Start a task that the VM can't do without.
+
+        If it raises an exception, that is logged and it starts again.
+
+        Args:
+            loop: A function that returns soon after `stopping` is set.
+
+        Returns:
+            A future that is done once the loop has returned.
+        """
+        return self.start(partial(_run_again_after_errors, loop, self.stopping))
+
     def close(self) -> None:
         """Stop all tasks and wait until they have ended."""
         self.stopping.set()
@@ -63,3 +79,15 @@
     error = None if future.cancelled() else future.exception()
     if error is not None:
         _log.error('task failed', exc_info=error)
+
+
+def _run_again_after_errors(
+    loop: Callable[[], None], stopping: threading.Event
+) -> None:
+    while True:
+        try:
+            return loop()
+        except Exception:
+            _log.exception('task failed, starts again')
+        if stopping.wait(RESTART_PAUSE_SECONDS):
+            return None
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -203,7 +203,7 @@
         peers = PeerService(gossip, order_handler, core.handovers, core.clock)
         peer_listen = settings.peer_listen_address or settings.peer_address
         stack.enter_context(peer_server(peers, peer_listen))
-        tasks.start(links.run)
+        tasks.start_loop(links.run)
         _start_watches(core, tasks, links)
         server = stack.enter_context(
             caller_server(CallerApp(service), _listen_config(settings)),
@@ -369,13 +369,13 @@
 
 def _start_watches(core: Core, tasks: TaskGroup, links: PeerLinks) -> None:
     for watch in core.watches:
-        tasks.start(partial(watch.run, tasks.stopping))
+        tasks.start_loop(partial(watch.run, tasks.stopping))
     first_reads = [
         platform_watch.health.first_read for platform_watch in core.watches
     ]
-    tasks.start(lambda: core.pause_detector.run(tasks.stopping))
+    tasks.start_loop(lambda: core.pause_detector.run(tasks.stopping))
     restart_detector = RestartDetector(core.leaving_searchers)
-    tasks.start(lambda: restart_detector.run(tasks.stopping))
+    tasks.start_loop(lambda: restart_detector.run(tasks.stopping))
     tasks.start(
         lambda: wait_for_initial_sync(
             core.state, links.has_tried_all_peers, first_reads, tasks.stopping
