--- a/basilwall/backend/loss_classifier.py
+++ b/basilwall/backend/loss_classifier.py
@@ -86,7 +86,7 @@
             searchers died at the same time, or if none of them is reached;
             else DIED.
         """
-        if self._probe_lost and not self._is_found(self._probe_lost, searcher):
+        if self._probe_lost and not _is_found_dead(self._probe_lost, searcher):
             return Evidence.LOST
         ineligible = {searcher, *find_excluded()}
         unrelated = self._choose_unrelated(
@@ -114,13 +114,6 @@
             with self._lock:
                 self._dead_since.pop(searcher, None)
 
-    def _is_found(self, probe: Probe, searcher: SearcherAddress) -> bool:
-        # A process that is ending may still accept connections for a moment.
-        return any(
-            probe([searcher], seconds)
-            for seconds in (PROBE_SECONDS, LONG_PROBE_SECONDS)
-        )
-
     def _choose_unrelated(
         self,
         service: ServiceName,
@@ -152,3 +145,12 @@
                 if now - self._dead_since.setdefault(address, now)
                 < SIMULTANEOUS_SECONDS
             }
+
+
+def _is_found_dead(probe: Probe, searcher: SearcherAddress) -> bool:
+    """Return whether a probe finds a searcher dead, now or a little later."""
+    # A process that is ending may still accept connections for a moment.
+    return any(
+        probe([searcher], seconds)
+        for seconds in (PROBE_SECONDS, LONG_PROBE_SECONDS)
+    )
