Take the hedge of an unanswered query for its canary

One shard had been hedged before any loss, as the machine was slow, and lost both searchers; another shard was then retried as the canary.

Now a hedged shard that lost both its searchers has been the canary: no other shard is retried.

The changed case of extra_attempt_canary_test failed before (one retry).

--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -262,7 +262,7 @@
             )
         elif budget.spend(RETRY_RESERVE_RATIO) and self._send_next(subrequest):
             self._trail.hedges += 1
-            self._canary.note_hedge()
+            self._canary.note_hedge(subrequest)
             self._add_step(subrequest, searcher, 'late, hedged')
         else:
             self._add_step(subrequest, searcher, 'late, no budget for a hedge')
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -83,9 +83,10 @@
             return math.inf
         return FIRST_HEDGE_WAIT_SECONDS
 
-    def note_hedge(self) -> None:
-        """Hold back further hedges."""
+    def note_hedge(self, subrequest: SubRequest) -> None:
+        """Make the first hedge the canary, and hold back further ones."""
         if self._state is _State.UNKNOWN:
+            self._canary = subrequest
             self._wait()
 
     def note_loss(self, subrequest: SubRequest) -> None:
--- a/basilwall/forwarding/extra_attempt_canary_test.py
+++ b/basilwall/forwarding/extra_attempt_canary_test.py
@@ -75,8 +75,12 @@
 def test_such_a_content_is_hedged_at_one_shard_only():
     query = Query()
     assert 0 < query.canary.hedge_wait < MAX_HOLD_SECONDS
-    query.canary.note_hedge()
+    first, *others = query.subrequests
+    query.canary.note_hedge(first)
     assert query.canary.hedge_wait == math.inf
+    query.lose(*others, first)
+    assert not query.retried
+    assert all(subrequest.has_ended for subrequest in query.subrequests)
 
 
 def test_after_an_outage_all_parts_are_retried_once_one_has_answered():
