--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -44,7 +44,6 @@
 #: An attempt with less time left until the deadline is not sent.
 MIN_ATTEMPT_SECONDS = 0.005
 
-
 FirstAttempts = list[tuple[SubRequest, SearcherStats]]
 
 
@@ -161,13 +160,12 @@
         services = [subrequest.service for subrequest, _ in first_attempts]
         index = self._context.crash_detector.least_struck(self._call, services)
         subrequest, stats = first_attempts.pop(index)
-        max_attempts, self._max_attempts = self._max_attempts, 1
+        self._canary.begin_with(subrequest)
         self._send(subrequest, stats)
         while subrequest.is_open and self._clock.monotonic() < self._deadline:
             if self._context.are_links_lost():
                 break
             self._wait(self._deadline)
-        self._max_attempts = max_attempts
         has_answered = subrequest.success is not None
         end = 'answered' if has_answered else 'not answered'
         event = f'suspected content tried alone, {end}'
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -21,7 +21,7 @@
 
 #: Longest wait for an answer; a searcher that is only paused is back by then.
 MAX_HOLD_SECONDS = 0.3
-#: Most runs that end their searcher have done so within this time.
+#: Leaves the first attempts time to be answered, or lost, before a hedge.
 FIRST_HEDGE_WAIT_SECONDS = 0.08
 NO_SEARCHER = SearcherId('')
 
@@ -83,11 +83,20 @@
             return math.inf
         return FIRST_HEDGE_WAIT_SECONDS
 
+    def begin_with(self, subrequest: SubRequest) -> None:
+        """Make the first attempt of a suspected content the canary.
+
+        Args:
+            subrequest: The only one that is sent. It is not hedged, and not
+                retried if its connection is lost.
+        """
+        self._state, self._canary = _State.TRYING, subrequest
+
     def note_hedge(self, subrequest: SubRequest) -> None:
         """Make the first hedge the canary, and hold back further ones."""
         if self._state is _State.UNKNOWN:
             self._canary = subrequest
-            self._wait()
+            self._start_hold()
 
     def note_loss(self, subrequest: SubRequest) -> None:
         """Retry a subrequest, hold it back or give it up.
@@ -105,7 +114,7 @@
                 held.has_ended = True
                 self._add_step(held, NO_SEARCHER, 'not retried, canary lost')
         elif self._state is _State.UNKNOWN:
-            self._wait()
+            self._start_hold()
 
     def note_answer(self) -> None:
         """Let all go on, as a searcher has run the content and answered."""
@@ -131,12 +140,12 @@
         while self._held and self._state is _State.UNKNOWN:
             services = [held.service for held in self._held]
             self._canary = self._held.pop(self._least_struck(services))
-            self._wait()
+            self._start_hold()
             self._state = _State.TRYING
             self._retry_or_end(self._canary)
             self.note_failure(self._canary)
 
-    def _wait(self) -> None:
+    def _start_hold(self) -> None:
         self.late_at = self._clock.monotonic() + MAX_HOLD_SECONDS
 
     def _pass(self) -> None:
