Refuse new connections during a stop that never becomes idle

What callers saw: with callers that go on after the lag of the balancer, a planned stop of `basilwall serve` accepted new requests up to its limit of 30 s, then closed the connections of those in flight without an answer and ended with status 1, "requests cut off at the limit of the stop".

Cause: the stop waited for a moment without requests, and nothing made one come. Now half of the limit waits for callers to leave; then new connections are refused, so what was accepted is answered in the other half. They are refused after the handover too, where the second wait had the same fault: a moment without requests before it says nothing of the time after it.

The VM of that test trusts its balancer to notice within 0.5 s and the test took a refused connection for "still ready".

--- a/basilwall/caller/server.py
+++ b/basilwall/caller/server.py
@@ -16,7 +16,7 @@
 from waitress.task import WSGITask
 
 from basilwall.caller.app import CallerApp
-from basilwall.parts.listening_sockets import refuse_new_connections
+from basilwall.parts import listening_sockets
 
 #: Threads beyond the admission limit, so that a refusal never waits for one.
 REFUSAL_THREADS = 8
@@ -156,14 +156,18 @@
             pause.wait(POLL_INTERVAL_SECONDS)
         return False
 
+    def refuse_new_connections(self) -> None:
+        """Refuse new connections; the accepted ones are still served."""
+        server: Any = self._server
+        listening_sockets.refuse_new_connections(server.socket)
+
     def drain_backlog(self) -> None:
         """Refuse new connections and answer those already accepted.
 
         These include connections that the server's loop has not yet taken from
         the backlog, and those whose request has not yet arrived.
         """
-        server: Any = self._server
-        refuse_new_connections(server.socket)
+        self.refuse_new_connections()
         pause = threading.Event()
         ends_at = time.monotonic() + FINAL_REPLIES_SECONDS
         while time.monotonic() < ends_at:
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -127,12 +127,15 @@
         self._links.notify_peers()
         skip_balancer_wait.wait(stop.balancer_lag_s)
         ends_at = self.core.clock.monotonic() + stop.limit_s
-        self.core.admission.wait_idle(stop.limit_s)
+        if not self.core.admission.wait_idle(stop.limit_s / 2):
+            # Callers go on; the requests accepted so far need the other half.
+            self._server.refuse_new_connections()
         self._handover_sender.run(
             self.core.settings.ticket_lifetime_s,
             max(ends_at - self.core.clock.monotonic(), 0),
         )
-        # Requests were also accepted during the handover.
+        # Requests were also accepted during the handover; these are the last.
+        self._server.refuse_new_connections()
         time_left = max(
             ends_at - self.core.clock.monotonic(), MIN_REPLY_SECONDS
         )
--- a/tests/whole_path_test.py
+++ b/tests/whole_path_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from basilwall.standin.deployment import SHAPES_BY_DEPLOYMENT
-from tests.processes import deployment, wait_until
+from tests.processes import PATIENCE, deployment, wait_until
 
 
 @pytest.mark.parametrize('name', sorted(SHAPES_BY_DEPLOYMENT))
@@ -52,15 +52,21 @@
 
 
 def test_a_planned_stop_cuts_off_nothing(tmp_path):
-    with deployment('qasr-al-jamr', tmp_path, service_ms=20) as made:
+    # The first signal holds the stop back, the second one lets it go on.
+    stop = {'balancer_lag_s': PATIENCE, 'limit_s': 6}
+    with deployment('qasr-al-jamr', tmp_path, service_ms=20, stop=stop) as made:
         leaving, staying = made.vms
         path = '/v1/services/depot-desk/query'
-        stop_sent = threading.Event()
+        has_left_balancer = threading.Event()
         answered = []
 
         def caller():
-            while not stop_sent.is_set():
-                reply = leaving.call(path, headers={'Request-Class': 'x'})
+            while True:
+                try:
+                    reply = leaving.call(path, headers={'Request-Class': 'x'})
+                except ConnectionRefusedError:
+                    assert has_left_balancer.is_set()
+                    return
                 answered.append(reply.status)
 
         with ThreadPoolExecutor(4) as pool:
@@ -68,7 +74,8 @@
             wait_until(lambda: len(answered) > 20)
             leaving.signal(signal.SIGTERM)
             wait_until(lambda: not leaving.is_ready())
-            stop_sent.set()
+            has_left_balancer.set()
+            leaving.signal(signal.SIGTERM)
             for call in calls:
                 call.result()
         assert set(answered) <= {200, 503, 504}
