Withdraw strikes against contents once an outage turns out to explain them

What callers saw: after two outages that took searchers one after the other, within 20 ms, a content that had been in flight both times was refused as quarantined, with Retry-After up to 300 s, by every VM, though it crashes nothing.

The logs show `evidence: died` for ten losses 8 to 16 ms after the first one, `spared` for those classified later, and then `verdict: quarantined` for the content.

Cause: a lost searcher and unrelated ones are probed at once. An outage that has not reached the others by then looks like a crash, and two of them are enough for a quarantine. Ruled out: a test too impatient (no request was late; they were refused in 0 ms) and the change of hedges and retries (the same verdicts are reached without retries).

Change: the strike stands at once, as a content that does crash searchers must get no further, and 80 ms later unrelated searchers are probed once more; if two of them have just ended, and not under the same content here or at other VMs, the strikes of that moment are cleared.

--- a/basilwall/backend/loss_classifier.py
+++ b/basilwall/backend/loss_classifier.py
@@ -108,6 +108,19 @@
         has_died = self._probe([searcher], LONG_PROBE_SECONDS)
         return Evidence.DIED if has_died else Evidence.LOST
 
+    def find_simultaneous(
+        self, service: ServiceName, excluded: Collection[SearcherAddress]
+    ) -> set[SearcherAddress]:
+        """Probe unrelated searchers, and return those that have just ended.
+
+        Args:
+            service: The service of a searcher that was lost a moment ago.
+            excluded: Searchers whose death is no sign of an outage.
+        """
+        unrelated = self._choose_unrelated(service, set(excluded))
+        dead = self._probe(sorted(unrelated), PROBE_SECONDS)
+        return self._newly_dead(unrelated, dead)
+
     def note_alive(self, searcher: SearcherAddress) -> None:
         """Record that a searcher has answered."""
         if searcher in self._dead_since:
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -4,7 +4,8 @@
 request would crash the searchers of a service one after another. When an
 attempt loses its connection, the VM probes whether the searcher's process has
 ended. If so, it also probes unrelated searchers that did not run the content:
-if those are down as well, the outage is not caused by the content. Once
+if those are down as well, the outage is not caused by the content; a moment
+later it looks again, as an outage may end them one after the other. Once
 searchers have died twice while running a content, every VM quarantines it. A
 searcher that answers a content speaks for it.
 """
@@ -21,6 +22,7 @@
 
 from basilwall.backend.loss_classifier import LossClassifier
 from basilwall.forwarding.recent_losses import RecentLoss, RecentLosses
+from basilwall.forwarding.strike_review import StrikeReview
 from basilwall.forwarding.transport import Attempt
 from basilwall.parts.clock import Clock
 from basilwall.parts.fingerprints import fingerprint
@@ -139,6 +141,12 @@
             MAX_CLASSIFICATIONS
         )
         self._recent_losses = RecentLosses()
+        self._review = StrikeReview(
+            quarantine,
+            loss_classifier,
+            self._recent_losses,
+            tasks.stopping.wait,
+        )
 
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a request's content is known to crash searchers."""
@@ -247,7 +255,9 @@
             },
         )
         if evidence is Evidence.DIED:
-            self._strike(loss)
+            strike = self._strike(loss)
+            if self._review.review(loss.content, strike):
+                self.on_change()
 
     def _classify(self, loss: _Loss) -> Evidence:
         return self._loss_classifier.classify(
@@ -265,7 +275,7 @@
             | self._recent_losses.searchers_of(content)
         )
 
-    def _strike(self, loss: _Loss) -> None:
+    def _strike(self, loss: _Loss) -> Strike:
         searcher = loss.searcher
         strike = Strike(
             IncidentId(next(self._incident_ids)),
@@ -278,6 +288,7 @@
         )
         self._quarantine.strike(loss.content, [strike])
         self.on_change()
+        return strike
 
 
 def fingerprint_of(call: Call) -> Fingerprint:
--- a/basilwall/forwarding/crash_detection_test.py
+++ b/basilwall/forwarding/crash_detection_test.py
@@ -2,16 +2,21 @@
 
 import random
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 
 import pytest
 
 from basilwall.backend.loss_classifier import LossClassifier
-from basilwall.forwarding.crash_detection import ProbingCrashDetector
+from basilwall.forwarding.crash_detection import (
+    ProbingCrashDetector,
+    fingerprint_of,
+)
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.quarantine import Quarantine, Suspicion
 from basilwall.records.forwarding import Call, LossReason, Lost, Reply
 from basilwall.records.searcher import Searcher
+from basilwall.records.strike import Evidence, Strike
 
 OTHERS = [f'other-{number}:1' for number in range(4)]
 MOMENT_SECONDS = 1.0
@@ -28,11 +33,21 @@
 
 
 class InlineTasks:
-    """Runs each task at once."""
+    """Runs each task at once; calls the next of `on_wait` in each wait."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.on_wait = []
+        self.stopping = SimpleNamespace(wait=self.wait)
 
     def start(self, task):
         task()
 
+    def wait(self, seconds):
+        self.clock.advance(seconds)
+        if self.on_wait:
+            self.on_wait.pop(0)()
+
 
 class Vm:
     """A VM to which the searchers in `dead` refuse connections."""
@@ -40,6 +55,7 @@
     def __init__(self, others=OTHERS):
         self.clock = ManualClock()
         self.quarantine = Quarantine(self.clock, moment_seconds=MOMENT_SECONDS)
+        self.tasks = InlineTasks(self.clock)
         self.dead = set()
         self.addresses = set(others)
         classifier = LossClassifier(
@@ -51,7 +67,7 @@
         self.detector = ProbingCrashDetector(
             self.quarantine,
             classifier,
-            InlineTasks(),
+            self.tasks,
             'vm',
             self.clock,
             lambda _: ROUND_TRIP_SECONDS,
@@ -209,3 +225,38 @@
     repeats = [replace(call(), request_id=b'%d' % one) for one in range(40)]
     chosen = {vm.detector.least_struck(repeat, services) for repeat in repeats}
     assert chosen == set(range(4))
+
+
+@pytest.mark.parametrize(
+    ('ended', 'is_quarantined'),
+    [(OTHERS, False), (OTHERS[:2], False), (OTHERS[:1], True), ([], True)],
+)
+def test_outages_that_go_on_after_the_first_loss_quarantine_nothing(
+    ended, is_quarantined
+):
+    vm = Vm()
+    for process in range(2):
+        vm.tasks.on_wait.append(partial(vm.dead.update, ended))
+        vm.lose((call(), searcher(f's-{process}')))
+        vm.dead.clear()
+        # They answer probes again before the next outage.
+        vm.detector._loss_classifier.find_simultaneous('s', ())
+    assert vm.is_quarantined() is is_quarantined
+
+
+def test_a_loss_to_the_same_content_elsewhere_is_no_outage():
+    vm = Vm()
+    vm.lose((call(), searcher('s-1')))
+    told = [
+        Strike(f'peer/{number}', address, Evidence.DIED)
+        for number, address in enumerate(OTHERS)
+    ]
+
+    vm.tasks.on_wait = [
+        lambda: vm.dead.update(OTHERS),
+        lambda: vm.quarantine.strike(fingerprint_of(call()), told),
+    ]
+    vm.lose((call(), searcher('s-2')))
+    (entry,) = vm.quarantine.entries()
+    assert len(entry.struck_searchers()) == 1 + len(OTHERS)
+    assert all(dated.is_uncleared for dated in entry.all_strikes())
--- a/basilwall/records/strike.py
+++ b/basilwall/records/strike.py
@@ -21,7 +21,8 @@
     PENDING: not classified yet. SPARED: other searchers were lost at the same
     time, so the content is not blamed. LOST: the searcher still accepts
     connections. DIED: it does not. DOUBTED: another part has answered the
-    content since. CLEARED: a replica of the same part has.
+    content since. CLEARED: a replica of the same part has, or an outage
+    ended the searcher.
     """
 
     PENDING = 0
