Count a crash well after an earlier one as a crash of its own, at any VM

Cause: crashes within 1 s count as one moment, unless the VM that lost the second searcher had itself lost an earlier one. What other VMs had told it did not count. Now a searcher lost under a content that was sent to it 80 ms or more after an uncleared loss, wherever that was, is a second crash; if an outage caused both after all, the review of strikes clears them.

Ruled out: withdrawn strikes as the reason.

The unit test fails before. Waits of inline tasks take no time in that file now, as the second loss of a test would otherwise come 80 ms late.

--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -21,10 +21,15 @@
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier
-from basilwall.forwarding.recent_losses import RecentLoss, RecentLosses
-from basilwall.forwarding.strike_review import StrikeReview
+from basilwall.forwarding.recent_losses import (
+    RUN_JITTER_SECONDS,
+    RecentLoss,
+    RecentLosses,
+)
+from basilwall.forwarding.strike_review import OUTAGE_SECONDS, StrikeReview
 from basilwall.forwarding.transport import Attempt
 from basilwall.parts.clock import Clock
+from basilwall.parts.content_strikes import ContentStrikes
 from basilwall.parts.fingerprints import fingerprint
 from basilwall.parts.quarantine import Quarantine, Suspicion
 from basilwall.parts.tasks import TaskGroup
@@ -205,17 +210,18 @@
 
     def _make_loss(self, call: Call, attempt: Attempt) -> _Loss:
         content, now = fingerprint_of(call), self._clock.monotonic()
-        searcher = attempt.searcher
+        searcher, sent_at = attempt.searcher, attempt.sent_at
         round_trip = self._round_trip(searcher.zone)
-        run_seconds = now - attempt.sent_at - round_trip
+        run_seconds = now - sent_at - round_trip
         return _Loss(
             call,
             searcher,
             content,
             now,
             run_seconds,
-            self._recent_losses.is_repeated(
-                content, attempt.sent_at, run_seconds
+            self._recent_losses.is_repeated(content, sent_at, run_seconds)
+            or _is_repeated_later(
+                self._quarantine.entry_of(content), sent_at, run_seconds
             ),
         )
 
@@ -297,6 +303,26 @@
     return fingerprint(ServiceName(call.host), call.method.decode(), body)
 
 
+def _is_repeated_later(
+    entry: ContentStrikes | None, sent_at: float, run_seconds: float
+) -> bool:
+    """Return whether a loss is too late for the outage of an earlier one.
+
+    Args:
+        entry: The strikes against the content, also those of other VMs.
+        sent_at: When it was sent to the searcher that is lost now, in monotonic
+            seconds.
+        run_seconds: How long that searcher may have run it.
+    """
+    if entry is None or run_seconds < -RUN_JITTER_SECONDS:
+        return False
+    return any(
+        crash.strike.evidence is Evidence.DIED
+        and crash.lost_at + OUTAGE_SECONDS <= sent_at
+        for crash in entry.crashes()
+    )
+
+
 def _log_unclassified(loss: _Loss, reason: str) -> None:
     _log.info(
         'searcher loss not classified',
--- a/basilwall/forwarding/crash_detection_test.py
+++ b/basilwall/forwarding/crash_detection_test.py
@@ -33,18 +33,19 @@
 
 
 class InlineTasks:
-    """Runs each task at once; calls the next of `on_wait` in each wait."""
+    """Runs each task at once; calls the next of `on_wait` in each wait.
 
-    def __init__(self, clock):
-        self.clock = clock
+    A task that waits takes no time of those that it runs beside.
+    """
+
+    def __init__(self):
         self.on_wait = []
         self.stopping = SimpleNamespace(wait=self.wait)
 
     def start(self, task):
         task()
 
-    def wait(self, seconds):
-        self.clock.advance(seconds)
+    def wait(self, _):
         if self.on_wait:
             self.on_wait.pop(0)()
 
@@ -55,7 +56,7 @@
     def __init__(self, others=OTHERS):
         self.clock = ManualClock()
         self.quarantine = Quarantine(self.clock, moment_seconds=MOMENT_SECONDS)
-        self.tasks = InlineTasks(self.clock)
+        self.tasks = InlineTasks()
         self.dead = set()
         self.addresses = set(others)
         classifier = LossClassifier(
@@ -253,6 +254,19 @@
     assert vm.is_quarantined() is is_quarantined
 
 
+@pytest.mark.parametrize(
+    ('seconds_ago', 'is_quarantined'), [(0.2, True), (0.12, False)]
+)
+def test_a_content_that_crashed_a_searcher_of_another_vm_crashes_one_more(
+    seconds_ago, is_quarantined
+):
+    vm = Vm()
+    told = Strike('peer/1', 'elsewhere:1', Evidence.DIED, seconds_ago - 0.1)
+    vm.quarantine.strike(fingerprint_of(call()), [told])
+    vm.lose((call(), searcher()), run_seconds=0.1)
+    assert vm.is_quarantined() is is_quarantined
+
+
 def test_a_loss_to_the_same_content_elsewhere_is_no_outage():
     vm = Vm()
     vm.lose((call(), searcher('s-1')))
