Make the planned stop a class of its own, tested without a network

The phases are in caller/planned_stop.py now; what they decide is tested with a clock of its own: when callers that go on are refused, that those who have left are not refused before the handover, and that a stop ends and says so if requests never end. No change of what it does.

--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -61,7 +61,7 @@
         set_up_logs(loaded.log_level)
         with running_vm(loaded) as vm:
             stop_requested.wait()
-            is_complete = vm.stop(skip_balancer_wait)
+            is_complete = vm.planned_stop.run(skip_balancer_wait)
     except (CheckError, KeyFileError, OSError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
@@ -95,7 +95,7 @@
         if stay:
             typer.echo('Serving until SIGTERM.')
             stop_requested.wait()
-        vm.stop(skip_balancer_wait)
+        vm.planned_stop.run(skip_balancer_wait)
 
 
 @app.command()
--- a/basilwall/standin/demo.py
+++ b/basilwall/standin/demo.py
@@ -97,7 +97,7 @@
         vm: A running VM.
         print_line: Prints one line.
     """
-    address = vm.core.settings.caller_address
+    address = vm.settings.caller_address
     _wait_until_ready(address)
     print_line(
         f'One VM at http://{address}, ten instances of three searchers each.'
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -5,7 +5,6 @@
 
 import logging
 import random
-import threading
 import uuid
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
@@ -20,7 +19,8 @@
 from basilwall.backend.restart_detector import RestartDetector
 from basilwall.caller.admission import Admission
 from basilwall.caller.app import CallerApp
-from basilwall.caller.server import CallerServer, ListenConfig, caller_server
+from basilwall.caller.planned_stop import PlannedStop
+from basilwall.caller.server import ListenConfig, caller_server
 from basilwall.caller.service import CallerService
 from basilwall.configuration.client import HttpPlatformReader
 from basilwall.configuration.initial_sync import wait_for_initial_sync
@@ -59,8 +59,6 @@
 from basilwall.settings.model import Settings
 
 MIN_KEY_BYTES = 16
-#: Time for the last replies if the limit of the stop is used up.
-MIN_REPLY_SECONDS = 1.0
 
 _log = logging.getLogger(__name__)
 
@@ -88,62 +86,12 @@
     watches: list[PlatformWatch]
 
 
+@dataclass(frozen=True, slots=True)
 class Vm:
     """One running VM and its planned stop."""
 
-    def __init__(
-        self,
-        core: Core,
-        service: CallerService,
-        server: CallerServer,
-        order_handler: OrderHandler,
-        clients: PeerClients,
-        links: PeerLinks,
-    ) -> None:
-        self.core = core
-        self._service = service
-        self._server = server
-        self._links = links
-        self._handover_sender = HandoverSender(
-            core.membership,
-            order_handler.table,
-            core.handovers,
-            clients,
-            core.clock,
-        )
-
-    def stop(self, skip_balancer_wait: threading.Event) -> bool:
-        """Stop gracefully: finish requests in flight and hand over tickets.
-
-        Args:
-            skip_balancer_wait: Set to skip the wait for the balancer.
-
-        Returns:
-            False if a request was cut off at the limit of the stop.
-        """
-        stop = self.core.settings.stop
-        self._service.is_stopping = True
-        self.core.membership.announce_leaving()
-        self._links.notify_peers()
-        skip_balancer_wait.wait(stop.balancer_lag_s)
-        ends_at = self.core.clock.monotonic() + stop.limit_s
-        if not self.core.admission.wait_idle(stop.limit_s / 2):
-            # Callers go on; the requests accepted so far need the other half.
-            self._server.refuse_new_connections()
-        self._handover_sender.run(
-            self.core.settings.ticket_lifetime_s,
-            max(ends_at - self.core.clock.monotonic(), 0),
-        )
-        # Requests were also accepted during the handover; these are the last.
-        self._server.refuse_new_connections()
-        time_left = max(
-            ends_at - self.core.clock.monotonic(), MIN_REPLY_SECONDS
-        )
-        is_idle = self.core.admission.wait_idle(time_left)
-        is_flushed = self._server.wait_flushed(time_left)
-        if not (is_idle and is_flushed):
-            _log.error('requests cut off at the limit of the stop')
-        return is_idle and is_flushed
+    settings: Settings
+    planned_stop: PlannedStop
 
 
 @contextmanager
@@ -212,7 +160,32 @@
             caller_server(CallerApp(service), _listen_config(settings)),
         )
         stack.callback(tasks.stopping.set)
-        yield Vm(core, service, server, order_handler, clients, links)
+        handover_sender = HandoverSender(
+            core.membership,
+            order_handler.table,
+            core.handovers,
+            clients,
+            core.clock,
+        )
+        yield Vm(
+            settings,
+            PlannedStop(
+                settings.stop,
+                core.clock,
+                core.admission,
+                server,
+                partial(_announce_stop, service, core.membership, links),
+                partial(handover_sender.run, settings.ticket_lifetime_s),
+            ),
+        )
+
+
+def _announce_stop(
+    service: CallerService, membership: Membership, links: PeerLinks
+) -> None:
+    service.is_stopping = True
+    membership.announce_leaving()
+    links.notify_peers()
 
 
 def _build_core(settings: Settings) -> Core:
--- a/tests/bad_input_test.py
+++ b/tests/bad_input_test.py
@@ -16,7 +16,7 @@
 @pytest.fixture(scope='module')
 def address():
     with demo_vm() as vm:
-        found = vm.core.settings.caller_address
+        found = vm.settings.caller_address
         wait_until(lambda: send_request(found, 'GET', '/readyz').status == 200)
         yield found
 
