--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -27,10 +27,11 @@
 from basilwall.platform.node import read_node_file
 from basilwall.settings.current import SettingsError
 from basilwall.settings.model import load_settings
+from basilwall.settings.ticket_key import KeyFileError
 from basilwall.simulation.commands import simulate_command
 from basilwall.standin.commands import standin_app
 from basilwall.standin.demo import demo_vm, run_demo
-from basilwall.wiring import KeyFileError, running_vm
+from basilwall.wiring import running_vm
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 check_app = typer.Typer(no_args_is_help=True)
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -3,7 +3,6 @@
 All components are created here and get their dependencies as arguments.
 """
 
-import logging
 import random
 import uuid
 from collections.abc import Iterator
@@ -57,14 +56,7 @@
 from basilwall.records.catalogue import Catalogue, PublishedValue, VmState
 from basilwall.records.ids import Incarnation, ServiceName, VmAddress
 from basilwall.settings.model import Settings
-
-MIN_KEY_BYTES = 16
-
-_log = logging.getLogger(__name__)
-
-
-class KeyFileError(Exception):
-    """The ticket key file can't be read or the key is too short."""
+from basilwall.settings.ticket_key import read_ticket_key
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,7 +238,7 @@
     ticket_issuer = TicketIssuer(
         own.address,
         own.incarnation,
-        _ticket_key(settings),
+        read_ticket_key(settings.ticket_key_file),
         core.clock,
         settings.ticket_lifetime_s,
     )
@@ -372,15 +364,3 @@
         return None
     host, _, port = settings.statsd_address.rpartition(':')
     return StatsClient(host, int(port), prefix='basilwall')
-
-
-def _ticket_key(settings: Settings) -> bytes:
-    try:
-        key = settings.ticket_key_file.read_bytes().strip()
-    except OSError as error:
-        raise KeyFileError(str(error)) from error
-    if len(key) < MIN_KEY_BYTES:
-        raise KeyFileError(
-            f'{settings.ticket_key_file}: shorter than {MIN_KEY_BYTES} bytes',
-        )
-    return key
