End the threads of a stand-in that spun once its connections had closed

What was seen: tests that measure time failed once each, late in whole runs and never alone. Their logs, which have the time now, show 40 to 110 ms for each request that is refused at once.

Cause: the stand-in of basilwall/backend/connection_test.py read lines until an empty one, and at the end of a connection it went on for ever, adding to a list. From that file on, 36 to 40 threads competed with all later tests of the same process for the interpreter, and its memory grew to 1 GB. Found by asking after each test how much processor time the idle process takes: 1.4 to 1.9 of a core from that file on, 0.00 now.

Shown: 30 requests that take 3 and 5 ms at most (two runs) take 79 and 181 ms beside 40 such connections, 12 ms with this change. Ruled out: threads of other tests (up to 232, all waiting), and the load of the machine alone (15 ms at most among twelve at a time).

--- a/basilwall/backend/connection_test.py
+++ b/basilwall/backend/connection_test.py
@@ -176,10 +176,12 @@
         return False
 
     def _read(self, stream):
-        lines = list(iter(stream.readline, b'\r\n'))
-        if not lines or b'' in lines:
+        lines = [stream.readline()]
+        while lines[-1] not in {b'\r\n', b''}:
+            lines.append(stream.readline())
+        if not lines[-1]:
             return None
-        by_name = dict(line.strip().split(b': ', 1) for line in lines[1:])
+        by_name = dict(line.strip().split(b': ', 1) for line in lines[1:-1])
         stream.read(int(by_name[b'Content-Length']))
         return by_name[b'Attempt-Id'].decode()
 
