--- a/basilwall/routing/location.py
+++ b/basilwall/routing/location.py
@@ -20,7 +20,7 @@
     OTHER_REGION = 'far'
 
 
-#: Round trips assumed until one is measured.
+#: Round trips assumed before the first connection to a zone.
 ASSUMED_ROUND_TRIP_SECONDS = {
     Distance.SAME_ZONE: 0.001,
     Distance.SAME_REGION: 0.004,
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -30,7 +30,7 @@
 FIXED_TIMEOUT_SECONDS = 0.03
 OVERLOAD_SERVICE_MS = 60
 OVERLOAD_DEADLINE_MS = 300
-#: Offered load as a multiple of the capacity, in the order measured.
+#: Offered load as a multiple of the capacity, in the order of the runs.
 LOAD_FACTORS = (0.7, 1, 1.5, 3, 0.5)
 
 
--- a/conftest.py
+++ b/conftest.py
@@ -3,8 +3,7 @@
 `ci` draws the same examples each time; `fuzz` draws new ones and more, and
 prints what reproduces a failure: see the target `fuzz` of the Makefile.
 
-A line `red test: NODE ID` of KNOWN-RED.txt marks a test that must fail, and a
-line `unsteady test: NODE ID` one that failed once and whose cause is not known.
+A line `red test: NODE ID` of KNOWN-RED.txt marks a test that must fail.
 """
 
 from pathlib import Path
@@ -33,23 +32,20 @@
 settings.load_profile('ci')
 
 _KNOWN_RED = Path(__file__).parent / 'KNOWN-RED.txt'
-#: Whether a listed test must fail, by how its line begins.
-_IS_STRICT_BY_PREFIX = {'red test: ': True, 'unsteady test: ': False}
+_RED_TEST = 'red test: '
 
 
 def pytest_collection_modifyitems(items):
-    """Expect the listed tests to fail; a red one that passes must leave."""
+    """Expect the listed tests to fail; one that passes must leave the list."""
     if not _KNOWN_RED.exists():
         return
     lines = _KNOWN_RED.read_text().splitlines()
-    is_strict_by_node = {
-        line.removeprefix(prefix): is_strict
-        for prefix, is_strict in _IS_STRICT_BY_PREFIX.items()
+    listed = {
+        line.removeprefix(_RED_TEST)
         for line in lines
-        if line.startswith(prefix)
+        if line.startswith(_RED_TEST)
     }
     for item in items:
-        if item.nodeid in is_strict_by_node:
+        if item.nodeid in listed:
             reason = 'listed in KNOWN-RED.txt'
-            is_strict = is_strict_by_node[item.nodeid]
-            item.add_marker(pytest.mark.xfail(reason=reason, strict=is_strict))
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
