Tell a relayed read that was cut off from one that got no answer

'changes not received from VM' said neither how long the call took nor how much had come; nothing told what a VM sends to others, nor that it knows of changes that it lacks. Now: bytes and seconds in that line, 'changes relayed' for large replies, the gauges store_behind_seconds and relayed_bytes. A response that is closed before its length is an error.

--- a/basilwall/configuration/limited_read.py
+++ b/basilwall/configuration/limited_read.py
@@ -5,12 +5,17 @@
 #: Many times the largest response of the store or of a VM, which holds a few
 #: versions of a value of 1 MB.
 MAX_RESPONSE_BYTES = 33_554_432
+PIECE_BYTES = 65_536
 
 
 class ResponseTooLargeError(http.client.HTTPException):
     """The body of a response is larger than the limit, or has no end."""
 
 
+class InterruptedReadError(OSError):
+    """The connection failed before the body of a response was complete."""
+
+
 def read_body(
     response: http.client.HTTPResponse, limit: int = MAX_RESPONSE_BYTES
 ) -> bytes:
@@ -25,9 +30,27 @@
 
     Raises:
         ResponseTooLargeError: If it is larger.
-        OSError: If the connection fails.
+        InterruptedReadError: If the connection fails or is closed before the
+            end; its message says how much had been read.
     """
-    body = response.read(limit + 1)
-    if len(body) > limit:
+    pieces: list[bytes] = []
+    size = 0
+    is_ended = False
+    while size <= limit and not is_ended:
+        wanted = min(PIECE_BYTES, limit + 1 - size)
+        try:
+            piece = response.read(wanted)
+        except OSError as error:
+            raise InterruptedReadError(
+                f'{error} after {size} bytes, {response.length} left'
+            ) from error
+        pieces.append(piece)
+        size += len(piece)
+        is_ended = len(piece) < wanted
+    if size > limit:
         raise ResponseTooLargeError(f'response larger than {limit} bytes')
-    return body
+    if response.length:
+        raise InterruptedReadError(
+            f'closed after {size} bytes, {response.length} left'
+        )
+    return b''.join(pieces)
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -181,6 +181,7 @@
     watch: PlatformWatch
     freshness: StoreFreshness
     changes: ChangeServer
+    catch_up: CatchUp
 
 
 def _build_store_access(
@@ -223,7 +224,7 @@
     catch_up = CatchUp(watch, reader, client, fleet.tasks, clock)
     fleet.gossip.messages.own_revision = catch_up.own_revision
     fleet.gossip.messages.record_peer_revision = catch_up.record_peer_revision
-    return StoreAccess(store, watch, freshness, changes)
+    return StoreAccess(store, watch, freshness, changes, catch_up)
 
 
 def _build_fleet(
@@ -278,26 +279,7 @@
     add = metrics.add_gauge
     add('callers', 'Open connections of callers.', lambda: len(connections))
     add('fleet', 'VMs that caps are shared by.', fleet.size)
-    add(
-        'store_failures',
-        'Failed reads of the store in a row.',
-        lambda: store_access.watch.health.failures,
-    )
-    add(
-        'store_calls',
-        'Calls to the store since the start.',
-        lambda: store_access.store.call_count,
-    )
-    add(
-        'store_age_seconds',
-        'Age of what this VM knows of the store.',
-        store_access.freshness.age_seconds,
-    )
-    add(
-        'route_table_version',
-        'Version of the route table in force, 0 for none.',
-        lambda: routing_state.table.version if routing_state.table else 0,
-    )
+    _register_store_gauges(metrics, store_access, routing_state)
     add(
         'limited_searchers',
         'Searchers that name a limit on the rate of requests.',
@@ -330,5 +312,43 @@
     )
 
 
+def _register_store_gauges(
+    metrics: PrometheusMetrics,
+    store_access: StoreAccess,
+    routing_state: RoutingState,
+) -> None:
+    add = metrics.add_gauge
+    add(
+        'store_failures',
+        'Failed reads of the store in a row.',
+        lambda: store_access.watch.health.failures,
+    )
+    add(
+        'store_calls',
+        'Calls to the store since the start.',
+        lambda: store_access.store.call_count,
+    )
+    add(
+        'store_age_seconds',
+        'Age of what this VM knows of the store.',
+        store_access.freshness.age_seconds,
+    )
+    add(
+        'store_behind_seconds',
+        'Time for which another VM has known changes unknown here.',
+        store_access.catch_up.behind_seconds,
+    )
+    add(
+        'relayed_bytes',
+        'Bytes of changes sent to other VMs since the start.',
+        lambda: store_access.changes.sent_bytes,
+    )
+    add(
+        'route_table_version',
+        'Version of the route table in force, 0 for none.',
+        lambda: routing_state.table.version if routing_state.table else 0,
+    )
+
+
 if __name__ == '__main__':
     main()
--- a/basilwall/fleet/catch_up.py
+++ b/basilwall/fleet/catch_up.py
@@ -62,6 +62,12 @@
         """Return the revision up to which this VM knows all changes."""
         return self._watch.health.revision
 
+    def behind_seconds(self) -> float:
+        """Return for how long another VM has known changes unknown here."""
+        if self._awaited_revision <= self.own_revision():
+            return 0
+        return self._clock.monotonic() - self._behind_since
+
     def record_peer_revision(self, vm: VmAddress, revision: int) -> None:
         """Record the revision of another VM; catch up with it if it is time.
 
@@ -95,7 +101,11 @@
         except (OSError, http.client.HTTPException, PlatformError) as error:
             _log.info(
                 'not caught up with VM',
-                extra={'vm': vm, 'error': repr(error)},
+                extra={
+                    'vm': vm,
+                    'error': repr(error),
+                    'behind_seconds': round(self.behind_seconds(), 2),
+                },
             )
         else:
             seconds = self._clock.monotonic() - started_at
--- a/basilwall/fleet/catch_up_test.py
+++ b/basilwall/fleet/catch_up_test.py
@@ -126,3 +126,12 @@
     vm.client.is_silent = False
     vm.catch_up.record_peer_revision(PEER, 5)
     assert vm.body() == b'new'
+
+
+def test_a_vm_tells_for_how_long_another_one_knows_more(vm):
+    assert vm.catch_up.behind_seconds() == 0
+    vm.catch_up.record_peer_revision(PEER, 5)
+    vm.clock.advance(2)
+    assert vm.catch_up.behind_seconds() == 2
+    vm.watch.apply_relayed(WatchReply(5, ()))
+    assert vm.catch_up.behind_seconds() == 0
--- a/basilwall/fleet/change_server.py
+++ b/basilwall/fleet/change_server.py
@@ -29,6 +29,8 @@
 
 #: Time between two checks of the age while a request is held open.
 CHECK_INTERVAL_SECONDS = 0.25
+#: Replies from this size on are logged.
+MIN_LOGGED_BYTES = 16_384
 
 _log = logging.getLogger(__name__)
 
@@ -51,6 +53,9 @@
         self._is_reader = is_reader
         self._compressor = ValueCompressor()
         self._changed = threading.Condition()
+        self._sent_bytes_lock = threading.Lock()
+        #: Bytes of all replies to other VMs.
+        self.sent_bytes = 0
 
     def notify_change(self, _: PublishedValue) -> None:
         """Wake the requests that wait for a change."""
@@ -77,7 +82,28 @@
             return HTTP_UNAVAILABLE, b''
         held_seconds = self._wait_for_change(request)
         changes = self._changes(request.after, held_seconds)
-        return HTTP_OK, encode_changes(changes)
+        reply = encode_changes(changes)
+        self._record_sent(request, changes, len(reply))
+        return HTTP_OK, reply
+
+    def _record_sent(
+        self, request: ChangesRequest, changes: Changes, size: int
+    ) -> None:
+        with self._sent_bytes_lock:
+            self.sent_bytes += size
+        if size < MIN_LOGGED_BYTES:
+            return
+        _log.info(
+            'changes relayed',
+            extra={
+                'after': request.after,
+                'revision': changes.revision,
+                'whole': changes.is_whole,
+                'catching_up': request.is_catching_up,
+                'held': round(changes.held_seconds, 2),
+                'bytes': size,
+            },
+        )
 
     def _wait_for_change(self, request: ChangesRequest) -> float:
         started_at = self._clock.monotonic()
--- a/basilwall/fleet/relayed_reader.py
+++ b/basilwall/fleet/relayed_reader.py
@@ -144,10 +144,11 @@
         """
         reader = self._select_reader()
         if reader is not None:
+            asked_at = self._clock.monotonic()
             try:
                 return self._watch_reader(reader, after)
             except (OSError, http.client.HTTPException, PlatformError) as error:
-                self._skip(reader, error)
+                self._skip(reader, error, asked_at)
         started_at = self._clock.monotonic()
         reply = self._store.watch(after)
         self._record_reply(
@@ -220,7 +221,9 @@
         self.reply_age_seconds = now - current_at
         log_changes(source, reply, self.reply_age_seconds, now - started_at)
 
-    def _skip(self, reader: VmAddress, error: Exception) -> None:
+    def _skip(
+        self, reader: VmAddress, error: Exception, asked_at: float
+    ) -> None:
         now = self._clock.monotonic()
         self._skipped_until = {
             **{vm: end for vm, end in self._skipped_until.items() if end > now},
@@ -228,7 +231,11 @@
         }
         _log.info(
             'changes not received from VM',
-            extra={'vm': reader, 'error': repr(error)},
+            extra={
+                'vm': reader,
+                'error': repr(error),
+                'seconds': round(now - asked_at, 2),
+            },
         )
 
 
