--- a/basilwall/fleet/narrow_links_test.py
+++ b/basilwall/fleet/narrow_links_test.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+from functools import partial
 
 import pytest
 
@@ -44,7 +45,7 @@
     """One direction of a VM's link; packets are sent one after the other."""
 
     def __init__(self):
-        self._free_at = 0.0
+        self._free_at = time.monotonic()
         self._lock = threading.Lock()
 
     def send(self, size):
@@ -201,8 +202,8 @@
                 vm.membership.record_contact(other.membership.own)
             vm.watch.apply_relayed(vm.store.watch(0))
         for vm in fleet.values():
-            tasks.start(lambda vm=vm: vm.watch.run(tasks.stopping))
-            tasks.start(lambda vm=vm: vm.gossip(tasks.stopping))
+            tasks.start(partial(vm.watch.run, tasks.stopping))
+            tasks.start(partial(vm.gossip, tasks.stopping))
         yield list(fleet.values())
         tasks.stopping.set()
 
