Relay what a VM lacks of a large document, and wait for a reader that receives one

What callers saw: requests served by routes that a document had replaced more than 6 s before. Cause: a reader sent each follower the whole document, compressed, over a link that all followers share; a follower gave the reply up 0.7 s after the hold of its call, and gave up a reader whose own read of the document made its data 2.8 s old. All followers then read every version since from the store, and caught up with yet other VMs, over the same links.

Now: a large value goes as a delta of the version that the asking VM has (one changed route of 2,800: 294 bytes, not 99,694); after a listing, the keys that exist and not all values; a reader that is receiving is not stale; a transfer that makes progress is not cut off by the limit of the wait for it; a read that ends after catching up doesn't set the revision back, which made the document be sent twice. Older builds get what they got.

Ruled out: a VM whose revision is ahead of its values (each reply holds all values up to its revision; the state machine of relays with compaction and restarts finds none).

--- a/basilwall/configuration/client.py
+++ b/basilwall/configuration/client.py
@@ -26,7 +26,8 @@
     """The values above the requested revision.
 
     If `is_whole` is True, `values` are all values that exist: other keys have
-    been removed. `revision` is the highest revision of the platform. If
+    been removed, but for `live_keys`, whose values were known before.
+    `revision` is the highest revision of the platform. If
     `is_restored` is True, the platform came back from an older copy: entries
     may be missing because they were lost, or be there because their removal
     was.
@@ -36,6 +37,7 @@
     values: tuple[PublishedValue, ...]
     is_whole: bool = False
     is_restored: bool = False
+    live_keys: tuple[str, ...] = ()
 
 
 class PlatformReader(ABC):
--- a/basilwall/configuration/limited_read.py
+++ b/basilwall/configuration/limited_read.py
@@ -1,11 +1,12 @@
 """Reads the body of an HTTP response up to a limit."""
 
 import http.client
+from collections.abc import Callable
 
 #: Many times the largest response of the store or of a VM, which holds a few
 #: versions of a value of 1 MB.
 MAX_RESPONSE_BYTES = 33_554_432
-PIECE_BYTES = 65_536
+PIECE_BYTES = 16_384
 
 
 class ResponseTooLargeError(http.client.HTTPException):
@@ -16,14 +17,21 @@
     """The connection failed before the body of a response was complete."""
 
 
+def _ignore_piece() -> None:
+    """Ignore that a piece has been read."""
+
+
 def read_body(
-    response: http.client.HTTPResponse, limit: int = MAX_RESPONSE_BYTES
+    response: http.client.HTTPResponse,
+    limit: int = MAX_RESPONSE_BYTES,
+    on_piece: Callable[[], None] = _ignore_piece,
 ) -> bytes:
     """Read the whole body of a response.
 
     Args:
         response: The response, whose head has been read.
         limit: The most that is read, in bytes.
+        on_piece: Called after each piece.
 
     Returns:
         The body.
@@ -44,6 +52,7 @@
             raise InterruptedReadError(
                 f'{error} after {size} bytes, {response.length} left'
             ) from error
+        on_piece()
         pieces.append(piece)
         size += len(piece)
         is_ended = len(piece) < wanted
--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -77,6 +77,10 @@
     """Ignore a successful read."""
 
 
+def _ignore_revision() -> None:
+    """Ignore a new revision."""
+
+
 class PlatformWatch:
     """Reads one address of the platform until the process stops.
 
@@ -109,6 +113,9 @@
         self._is_reader = is_reader
         self._record_read = record_read
         self._after = 0
+        self._revision_lock = threading.Lock()
+        #: Called when changes up to a later revision are known.
+        self.on_revision: Callable[[], None] = _ignore_revision
         #: All changes after this revision have been received. Up to it, keys
         #: may have been added and removed in between.
         self.complete_since = 0
@@ -132,14 +139,15 @@
         health = self.health
         health.calls += 1
         began_at = self._clock.monotonic()
+        after = self._after
         try:
-            reply = self._reader.watch(self._after)
+            reply = self._reader.watch(after)
         except PlatformError as error:
             health.failures += 1
             if health.failures == 1:
                 _log.warning('platform not read', extra={'error': str(error)})
             return False
-        self._apply(reply)
+        self._apply(reply, after)
         if health.failures:
             health.recovered_at = self._clock.monotonic()
             _log.info(
@@ -158,8 +166,9 @@
             reply: The changes after a revision up to which all were known.
         """
         self._store_values(reply)
-        self._after = max(self._after, reply.revision)
-        self.health.revision = self._after
+        with self._revision_lock:
+            self._set_revision(max(self._after, reply.revision))
+        self.on_revision()
 
     def _read_and_wait(
         self,
@@ -175,17 +184,28 @@
         stopping.wait(backoff_seconds * jitter_factor)
         return min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
-    def _apply(self, reply: WatchReply) -> None:
+    def _apply(self, reply: WatchReply, after: int) -> None:
+        """Apply a reply to a watch for the changes after a revision."""
         self._store_values(reply)
-        if reply.revision < self._after:
+        if reply.revision < after:
             _log.info(
                 'revision of the platform went back',
-                extra={'former': self._after, 'revision': reply.revision},
+                extra={'former': after, 'revision': reply.revision},
             )
-        # The cursor follows the platform even if its revision goes down after
-        # a restart: the register ignores values that it has already.
-        self._after = max(reply.revision, 0)
-        self.health.revision = self._after
+        with self._revision_lock:
+            # The cursor follows the platform even if its revision goes down
+            # after a restart: the register ignores values that it has already.
+            # It keeps what another VM relayed during the watch.
+            relayed = self._after if self._after > after else 0
+            is_set_back = reply.revision < after
+            self._set_revision(
+                max(reply.revision, 0 if is_set_back else relayed)
+            )
+        self.on_revision()
+
+    def _set_revision(self, revision: int) -> None:
+        self._after = revision
+        self.health.revision = revision
 
     def _store_values(self, reply: WatchReply) -> None:
         removed_before: set[str] = set()
@@ -207,6 +227,7 @@
 
     def _remove_unlisted(self, reply: WatchReply) -> None:
         listed = {published.key for published in reply.values}
+        listed.update(reply.live_keys)
         for key in self._register.digest().keys() - listed:
             removed = PublishedValue(key, reply.revision, b'')
             self._register.offer(removed)
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -22,6 +22,7 @@
     PlatformWatch,
     WatchIntervals,
 )
+from basilwall.configuration.transfer_progress import TransferProgress
 from basilwall.entry_serving import Serving, build_serving
 from basilwall.fleet.catch_up import CatchUp
 from basilwall.fleet.change_client import ChangeClient
@@ -31,6 +32,7 @@
 from basilwall.fleet.gossip import EXCHANGE_PATH, HttpGossip
 from basilwall.fleet.gossip_messages import GossipMessages
 from basilwall.fleet.relayed_reader import RelayedReader, StoreFreshness
+from basilwall.fleet.value_versions import large_values
 from basilwall.forwarding.reporting import RequestReporter
 from basilwall.ingress.server import StopState, ingress_server
 from basilwall.ingress.vm import EntryVm
@@ -194,8 +196,9 @@
     register = RevisionRegister(routing_state.accept)
     may_relay = _may_relay(settings)
     watch_seconds = SHORT_WATCH_SECONDS if may_relay else LONG_WATCH_SECONDS
-    store = HttpStoreClient(settings.store_address, watch_seconds)
-    client = ChangeClient()
+    progress = TransferProgress(clock)
+    store = HttpStoreClient(settings.store_address, watch_seconds, progress)
+    client = ChangeClient(partial(large_values, register))
     reader = RelayedReader(
         store, fleet.membership, settings.place, clock, may_relay, client
     )
@@ -211,7 +214,7 @@
             MIN_WATCH_INTERVAL_SECONDS,
         ),
     )
-    freshness = StoreFreshness(watch, reader, clock)
+    freshness = StoreFreshness(watch, reader, clock, progress)
     routing_state.removals_held_until = freshness.removals_held_until
     changes = ChangeServer(
         register,
@@ -220,7 +223,8 @@
         clock,
         lambda: reader.is_reader,
     )
-    register.subscribe(changes.notify_change)
+    register.subscribe(changes.note_change)
+    watch.on_revision = changes.notify_waiting
     catch_up = CatchUp(watch, reader, client, fleet.tasks, clock)
     fleet.gossip.messages.own_revision = catch_up.own_revision
     fleet.gossip.messages.record_peer_revision = catch_up.record_peer_revision
--- a/basilwall/fleet/catch_up.py
+++ b/basilwall/fleet/catch_up.py
@@ -15,6 +15,7 @@
 from basilwall.configuration.platform_watch import PlatformWatch
 from basilwall.fleet.change_client import ChangeClient, log_changes
 from basilwall.fleet.changes import ChangesRequest
+from basilwall.fleet.http_calls import CallLimits
 from basilwall.fleet.relayed_reader import RelayedReader
 from basilwall.parts.clock import Clock
 from basilwall.parts.tasks import TaskGroup
@@ -22,7 +23,9 @@
 
 #: Time for which this VM's own read may be behind another VM.
 PATIENCE_SECONDS = 0.8
-FETCH_TIMEOUT_SECONDS = 1.5
+FETCH_HEAD_SECONDS = 1.5
+FETCH_TRANSFER_SECONDS = 3.0
+_FETCH_LIMITS = CallLimits(FETCH_HEAD_SECONDS, FETCH_TRANSFER_SECONDS)
 
 _log = logging.getLogger(__name__)
 
@@ -95,7 +98,7 @@
         request = ChangesRequest(self.own_revision(), is_catching_up=True)
         started_at = self._clock.monotonic()
         try:
-            relayed = self._client.fetch(vm, request, FETCH_TIMEOUT_SECONDS)
+            relayed = self._client.fetch(vm, request, _FETCH_LIMITS)
             self._reader.hold_removals(relayed.removals_held_seconds)
             self._watch.apply_relayed(relayed.reply)
         except (OSError, http.client.HTTPException, PlatformError) as error:
--- a/basilwall/fleet/catch_up_test.py
+++ b/basilwall/fleet/catch_up_test.py
@@ -34,7 +34,7 @@
         self.requests = []
         self.is_silent = False
 
-    def fetch(self, vm, request, timeout_seconds):
+    def fetch(self, vm, request, limits):
         self.requests.append((vm, request.after))
         if self.is_silent:
             raise TimeoutError('timed out')
--- a/basilwall/fleet/change_client.py
+++ b/basilwall/fleet/change_client.py
@@ -1,7 +1,7 @@
 """Gets changes of the store from other VMs."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from basilwall.configuration.client import PlatformError, WatchReply
@@ -12,20 +12,27 @@
     decode_value,
     encode_request,
 )
-from basilwall.fleet.http_calls import HTTP_OK, post
+from basilwall.fleet.http_calls import HTTP_OK, CallLimits, post
+from basilwall.records.catalogue import PublishedValue
 from basilwall.records.ids import VmAddress
 
-#: Sends a request to a VM within a limit in seconds; returns the HTTP status
-#: and the body of the reply.
-Post = Callable[[VmAddress, bytes, float], tuple[int, bytes]]
+#: Sends a request to a VM within limits; returns the HTTP status and the body
+#: of the reply.
+Post = Callable[[VmAddress, bytes, CallLimits], tuple[int, bytes]]
+#: Returns the large values that this VM has.
+LargeValues = Callable[[], Sequence[PublishedValue]]
 
 _log = logging.getLogger(__name__)
 
 
 def _post(
-    address: VmAddress, body: bytes, timeout_seconds: float
+    address: VmAddress, body: bytes, limits: CallLimits
 ) -> tuple[int, bytes]:
-    return post(address, CHANGES_PATH, body, timeout_seconds)
+    return post(address, CHANGES_PATH, body, limits)
+
+
+def _no_large_values() -> Sequence[PublishedValue]:
+    return ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,22 +55,31 @@
 class ChangeClient:
     """Requests changes of the store from other VMs."""
 
-    def __init__(self, send: Post = _post) -> None:
-        """Create a client; `send` sends a request to a VM, by HTTP."""
+    def __init__(
+        self, large_values: LargeValues = _no_large_values, send: Post = _post
+    ) -> None:
+        """Create a client.
+
+        Args:
+            large_values: Returns the large values that this VM has, so that it
+                is sent only what has changed in them.
+            send: Sends a request to a VM, by HTTP.
+        """
+        self._large_values = large_values
         self._send = send
 
     def fetch(
         self,
         vm: VmAddress,
         request: ChangesRequest,
-        timeout_seconds: float,
+        limits: CallLimits,
     ) -> RelayedChanges:
         """Get changes from a VM.
 
         Args:
             vm: The address of the VM.
             request: What to ask for.
-            timeout_seconds: Limit of the whole call.
+            limits: Limits of the call.
 
         Returns:
             The changes.
@@ -73,14 +89,22 @@
             http.client.HTTPException: If its reply is not valid HTTP.
             PlatformError: If it refused, or if its reply is malformed.
         """
-        status, body = self._send(vm, encode_request(request), timeout_seconds)
+        known_by_key = {known.key: known for known in self._large_values()}
+        request.known_revisions = {
+            key: known.revision for key, known in known_by_key.items()
+        }
+        status, body = self._send(vm, encode_request(request), limits)
         if status != HTTP_OK:
             raise PlatformError(f'HTTP status {status}')
         changes = decode_changes(body)
         reply = WatchReply(
             changes.revision,
-            tuple(map(decode_value, changes.values)),
+            tuple(
+                decode_value(relayed, known_by_key)
+                for relayed in changes.values
+            ),
             changes.is_whole,
+            live_keys=changes.live_keys,
         )
         return RelayedChanges(
             reply,
--- a/basilwall/fleet/change_server.py
+++ b/basilwall/fleet/change_server.py
@@ -2,14 +2,16 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
+
+import msgspec
 
 from basilwall.configuration.client import PlatformError
 from basilwall.configuration.platform_watch import PlatformWatch
 from basilwall.fleet.changes import (
     Changes,
     ChangesRequest,
-    ValueCompressor,
+    RelayedValue,
     decode_request,
     encode_changes,
 )
@@ -23,6 +25,7 @@
     MAX_AGE_SECONDS,
     StoreFreshness,
 )
+from basilwall.fleet.value_versions import ValueVersions
 from basilwall.parts.clock import Clock
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.records.catalogue import PublishedValue
@@ -51,14 +54,18 @@
         self._freshness = freshness
         self._clock = clock
         self._is_reader = is_reader
-        self._compressor = ValueCompressor()
+        self._versions = ValueVersions()
         self._changed = threading.Condition()
         self._sent_bytes_lock = threading.Lock()
         #: Bytes of all replies to other VMs.
         self.sent_bytes = 0
 
-    def notify_change(self, _: PublishedValue) -> None:
-        """Wake the requests that wait for a change."""
+    def note_change(self, published: PublishedValue) -> None:
+        """Keep what the VMs have that are about to ask for a new value."""
+        self._versions.note_change(published)
+
+    def notify_waiting(self) -> None:
+        """Wake the requests that wait for a later revision."""
         with self._changed:
             self._changed.notify_all()
 
@@ -81,7 +88,7 @@
         if not (request.is_catching_up or self._is_reader()):
             return HTTP_UNAVAILABLE, b''
         held_seconds = self._wait_for_change(request)
-        changes = self._changes(request.after, held_seconds)
+        changes = self._changes(request, held_seconds)
         reply = encode_changes(changes)
         self._record_sent(request, changes, len(reply))
         return HTTP_OK, reply
@@ -118,22 +125,47 @@
         is_stale = self._freshness.age_seconds() > MAX_AGE_SECONDS
         return is_timed_out or is_stale or self._watch.health.revision > after
 
-    def _changes(self, after: int, held_seconds: float) -> Changes:
+    def _changes(self, request: ChangesRequest, held_seconds: float) -> Changes:
         # Read before the values, so that no value up to it is missing.
         revision = self._watch.health.revision
         age_seconds = self._freshness.age_seconds()
-        is_whole = after < self._watch.complete_since
+        is_whole = request.after < self._watch.complete_since
         stored = self._register.values_for(self._register.digest())
+        live_keys: tuple[str, ...] = ()
         values = [
-            published for published in stored if published.revision > after
+            published
+            for published in stored
+            if published.revision > request.after
         ]
-        if is_whole:
+        if is_whole and request.known_revisions is None:
             values = [published for published in stored if published.body]
+        elif is_whole:
+            live_keys = tuple(
+                published.key for published in stored if published.body
+            )
         return Changes(
             revision,
             is_whole,
             age_seconds,
             self._freshness.removals_held_seconds(),
             held_seconds,
-            tuple(map(self._compressor.encode, values)),
+            self._encode_values(values, request.known_revisions),
+            live_keys,
         )
+
+    def _encode_values(
+        self,
+        values: Sequence[PublishedValue],
+        known_revisions: Mapping[str, int] | None,
+    ) -> tuple[RelayedValue, ...]:
+        encoded = tuple(
+            self._versions.encode(published, known_revisions or {})
+            for published in values
+        )
+        if known_revisions is None:
+            # An older build expects a boolean.
+            return tuple(
+                msgspec.structs.replace(one, form=bool(one.form))
+                for one in encoded
+            )
+        return encoded
--- a/basilwall/fleet/changes.py
+++ b/basilwall/fleet/changes.py
@@ -1,23 +1,20 @@
 """Messages by which VMs relay changes of the store: encoding and decoding.
 
-Large values are sent compressed. A zone's VMs get them from a few others, whose
-links are narrow: a link that relays is busy for the size of a value times the
-VMs that ask for it.
+A region's VMs get changes from a few others, whose links are narrow: a link
+that relays is busy for the size of a reply times the VMs that ask for it. So
+a reply holds only what the asking VM lacks, large values compressed or as
+deltas of the version that it has.
 """
 
-import threading
-import zlib
+from collections.abc import Mapping
+from enum import IntEnum
 
 import msgspec
 
 from basilwall.configuration.client import PlatformError
-from basilwall.parts.revisions import MAX_BODY_BYTES
+from basilwall.fleet.value_deltas import apply_delta, decompress
 from basilwall.records.catalogue import PublishedValue
 
-#: Bodies from this size on are compressed.
-MIN_COMPRESSED_BYTES = 2048
-#: The fastest level; route tables shrink to a sixth or less with it.
-COMPRESSION_LEVEL = 1
 #: HTTP path at which VMs request changes.
 CHANGES_PATH = '/changes'
 
@@ -27,26 +24,41 @@
 
     Without any, the reply comes after `hold_seconds`. Any VM replies to one
     that is catching up, only readers of the store to others.
+    `known_revisions` says which version of large values the asking VM has, by
+    key; None if it takes neither deltas nor lists of keys, as older builds.
     """
 
     after: int
     hold_seconds: float = 0
     is_catching_up: bool = False
+    known_revisions: dict[str, int] | None = None
+
+
+class ValueForm(IntEnum):
+    """How the body of a relayed value is written."""
+
+    PLAIN = 0
+    COMPRESSED = 1
+    DELTA = 2
 
 
 class RelayedValue(msgspec.Struct, array_like=True):
-    """A published value; its body may be compressed."""
+    """A published value; a delta is of the version `base_revision`."""
 
     key: str
     revision: int
     body: bytes
-    is_compressed: bool
+    # Older builds send a boolean: whether the body is compressed.
+    form: int | bool
+    base_revision: int = 0
 
 
 class Changes(msgspec.Struct, array_like=True):
-    """The changes after a revision, or all values if `is_whole`.
+    """The changes after a revision.
 
-    All times are in seconds: `age` since the store was read,
+    If `is_whole`, keys may have been removed that are not among the changes:
+    `live_keys` are all that exist; if there are none, the keys of the values
+    are. All times are in seconds: `age` since the store was read,
     `removals_held_seconds` for which removals are still held back, and
     `held_seconds` for which the request was held open.
     """
@@ -57,54 +69,33 @@
     removals_held_seconds: float
     held_seconds: float
     values: tuple[RelayedValue, ...]
+    live_keys: tuple[str, ...] = ()
 
 
 _request_decoder = msgspec.msgpack.Decoder(ChangesRequest)
 _changes_decoder = msgspec.msgpack.Decoder(Changes)
 
 
-class ValueCompressor:
-    """Compresses values; the last one is kept, as many VMs ask for it."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._last_body = b''
-        self._last_compressed = b''
-
-    def encode(self, published: PublishedValue) -> RelayedValue:
-        """Return a value as it is relayed."""
-        body = published.body
-        is_large = len(body) >= MIN_COMPRESSED_BYTES
-        return RelayedValue(
-            published.key,
-            published.revision,
-            self._compress(body) if is_large else body,
-            is_large,
-        )
-
-    def _compress(self, body: bytes) -> bytes:
-        with self._lock:
-            if body is not self._last_body:
-                self._last_compressed = zlib.compress(body, COMPRESSION_LEVEL)
-                self._last_body = body
-            return self._last_compressed
-
-
-def decode_value(relayed: RelayedValue) -> PublishedValue:
+def decode_value(
+    relayed: RelayedValue, known_by_key: Mapping[str, PublishedValue]
+) -> PublishedValue:
     """Return the published value that was relayed.
 
+    Args:
+        relayed: The value as it was relayed.
+        known_by_key: The large values that the request named.
+
     Raises:
-        PlatformError: If its body can't be decompressed or is too large.
+        PlatformError: If its body can't be decoded or is too large.
     """
     body = relayed.body
-    if relayed.is_compressed:
-        decompressor = zlib.decompressobj()
-        try:
-            body = decompressor.decompress(body, MAX_BODY_BYTES)
-        except zlib.error as error:
-            raise PlatformError(f'{relayed.key}: {error}') from error
-        if not decompressor.eof:
-            raise PlatformError(f'{relayed.key}: cut off or too large')
+    if relayed.form == ValueForm.COMPRESSED:
+        body = decompress(body)
+    elif relayed.form == ValueForm.DELTA:
+        known = known_by_key.get(relayed.key)
+        if known is None or known.revision != relayed.base_revision:
+            raise PlatformError(f'{relayed.key}: delta of another version')
+        body = apply_delta(known.body, body)
     return PublishedValue(relayed.key, relayed.revision, body)
 
 
--- a/basilwall/fleet/gossip.py
+++ b/basilwall/fleet/gossip.py
@@ -11,7 +11,12 @@
 from functools import partial
 
 from basilwall.fleet.gossip_messages import GossipMessages, TellingError
-from basilwall.fleet.http_calls import HTTP_BAD_REQUEST, HTTP_OK, post
+from basilwall.fleet.http_calls import (
+    HTTP_BAD_REQUEST,
+    HTTP_OK,
+    CallLimits,
+    post,
+)
 from basilwall.parts.tasks import TaskGroup
 from basilwall.records.ids import VmAddress
 
@@ -23,7 +28,7 @@
 INITIAL_CALLS = 12
 MIN_JITTER_FACTOR = 0.7
 MAX_JITTER_FACTOR = 1.3
-CALL_TIMEOUT_SECONDS = 1.0
+CALL_LIMITS = CallLimits(head_seconds=1.0, transfer_seconds=1.0)
 #: HTTP path at which VMs exchange messages.
 EXCHANGE_PATH = '/exchange'
 #: Peers that an urgent change is pushed to; the others get it from these.
@@ -130,7 +135,7 @@
             address,
             EXCHANGE_PATH,
             self.messages.encode(),
-            CALL_TIMEOUT_SECONDS,
+            CALL_LIMITS,
         )
         if status != HTTP_OK:
             raise TellingError(f'HTTP status {status}')
--- a/basilwall/fleet/narrow_links_test.py
+++ b/basilwall/fleet/narrow_links_test.py
@@ -11,10 +11,12 @@
 
 from basilwall.configuration.client import PlatformReader, WatchReply
 from basilwall.configuration.platform_watch import PlatformWatch, WatchIntervals
+from basilwall.configuration.transfer_progress import TransferProgress
 from basilwall.fleet.catch_up import CatchUp
 from basilwall.fleet.change_client import ChangeClient
 from basilwall.fleet.change_server import ChangeServer
 from basilwall.fleet.relayed_reader import RelayedReader, StoreFreshness
+from basilwall.fleet.value_versions import large_values
 from basilwall.parts.clock import SystemClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.revisions import RevisionRegister
@@ -45,6 +47,8 @@
     """One direction of a VM's link; packets are sent one after the other."""
 
     def __init__(self):
+        #: False until the VMs know the first table.
+        self.is_narrow = False
         self._free_at = time.monotonic()
         self._lock = threading.Lock()
 
@@ -52,18 +56,21 @@
         """Return when a packet that is sent now has left."""
         with self._lock:
             start = max(time.monotonic(), self._free_at)
-            self._free_at = start + size / LINK_BYTES_PER_SECOND
+            if self.is_narrow:
+                self._free_at = start + size / LINK_BYTES_PER_SECOND
             return self._free_at
 
 
-def transfer(size, links, deadline):
-    """Move bytes over links; raise TimeoutError at the deadline."""
+def packets(size):
+    """Yield the sizes of the packets that bytes are sent in."""
     for offset in range(0, int(size), PACKET_BYTES):
-        packet = min(PACKET_BYTES, size - offset)
-        arrives_at = max(link.send(packet) for link in links)
-        time.sleep(max(arrives_at - time.monotonic(), 0))
-        if time.monotonic() > deadline:
-            raise TimeoutError('timed out')
+        yield min(PACKET_BYTES, size - offset)
+
+
+def deliver(packet, links):
+    """Wait until a packet has passed links."""
+    arrives_at = max(link.send(packet) for link in links)
+    time.sleep(max(arrives_at - time.monotonic(), 0))
 
 
 def table(version, routes):
@@ -111,8 +118,9 @@
 class StoreAccess(PlatformReader):
     """The store at the other end of one VM's link."""
 
-    def __init__(self, store, link):
+    def __init__(self, store, link, progress):
         self.bytes_read = 0
+        self._progress = progress
         self._store = store
         self._link = link
 
@@ -123,10 +131,16 @@
         size = sum(len(one.body) for one in versions) * STORE_EXPANSION
         self.bytes_read += size
         if after:
-            transfer(size, [self._link], time.monotonic() + VMS)
+            self._transfer(size)
         revision = versions[-1].revision if versions else after
         return WatchReply(revision, versions, is_whole=not after)
 
+    def _transfer(self, size):
+        with self._progress.receiving():
+            for packet in packets(size):
+                deliver(packet, [self._link])
+                self._progress.note_piece()
+
 
 class Vm:
     """The parts of one VM that learn of changes."""
@@ -137,11 +151,12 @@
         self.fleet = fleet
         self.inbound, self.outbound = Link(), Link()
         self.lost_transfers = 0
-        self.store = StoreAccess(store, self.inbound)
+        progress = TransferProgress(clock)
+        self.store = StoreAccess(store, self.inbound, progress)
         own = Member(self.address, f'life-{number}', 'zone')
         self.membership = Membership(own, clock)
         self.register = RevisionRegister()
-        client = ChangeClient(self.post)
+        client = ChangeClient(partial(large_values, self.register), self.post)
         self.reader = RelayedReader(
             self.store, self.membership, LOCATION, clock, True, client
         )
@@ -155,22 +170,23 @@
         self.server = ChangeServer(
             self.register,
             self.watch,
-            StoreFreshness(self.watch, self.reader, clock),
+            StoreFreshness(self.watch, self.reader, clock, progress),
             clock,
             lambda: self.reader.is_reader,
         )
-        self.register.subscribe(self.server.notify_change)
+        self.register.subscribe(self.server.note_change)
+        self.watch.on_revision = self.server.notify_waiting
         self.catch_up = CatchUp(self.watch, self.reader, client, tasks, clock)
 
-    def post(self, to, body, timeout_seconds):
-        deadline = time.monotonic() + timeout_seconds
+    def post(self, to, body, limits):
         peer = self.fleet[to]
         status, reply = peer.server.answer(body)
-        try:
-            transfer(len(reply), [peer.outbound, self.inbound], deadline)
-        except TimeoutError:
-            self.lost_transfers += 1
-            raise
+        deadline = time.monotonic() + limits.transfer_seconds
+        for packet in packets(len(reply)):
+            deliver(packet, [peer.outbound, self.inbound])
+            if time.monotonic() > deadline:
+                self.lost_transfers += 1
+                raise TimeoutError('timed out')
         return status, reply
 
     def gossip(self, stopping):
@@ -182,6 +198,9 @@
                     other.address, other.catch_up.own_revision()
                 )
 
+    def is_follower(self):
+        return not self.reader.is_reader
+
     def has(self, body):
         return any(
             published.body == body
@@ -200,7 +219,11 @@
         for vm in fleet.values():
             for other in fleet.values():
                 vm.membership.record_contact(other.membership.own)
-            vm.watch.apply_relayed(vm.store.watch(0))
+        for vm in sorted(fleet.values(), key=Vm.is_follower):
+            assert vm.watch.read()
+        for vm in fleet.values():
+            vm.inbound.is_narrow = True
+            vm.outbound.is_narrow = True
         for vm in fleet.values():
             tasks.start(partial(vm.watch.run, tasks.stopping))
             tasks.start(partial(vm.gossip, tasks.stopping))
@@ -237,7 +260,7 @@
         'store_reads_of_followers': sum(
             vm.store.bytes_read > read_before[vm.address]
             for vm in vms
-            if not vm.reader.is_reader
+            if vm.is_follower()
         ),
     }
 
--- a/basilwall/fleet/relay_delay_test.py
+++ b/basilwall/fleet/relay_delay_test.py
@@ -12,6 +12,7 @@
 
 from basilwall.configuration.client import PlatformReader, WatchReply
 from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.configuration.transfer_progress import TransferProgress
 from basilwall.fleet.change_client import ChangeClient
 from basilwall.fleet.change_server import ChangeServer
 from basilwall.fleet.relayed_reader import (
@@ -91,7 +92,7 @@
     store = FixedStore(large_table())
     reader = make_reader(store, membership, clock)
     watch = PlatformWatch(reader, register, clock, random.Random(1))
-    freshness = StoreFreshness(watch, reader, clock)
+    freshness = StoreFreshness(watch, reader, clock, TransferProgress(clock))
     server = ChangeServer(register, watch, freshness, clock, lambda: True)
     assert watch.read()
     status, reply = server.answer(msgspec.msgpack.encode([1]))
--- a/basilwall/fleet/relayed_reader.py
+++ b/basilwall/fleet/relayed_reader.py
@@ -22,8 +22,10 @@
     WatchReply,
 )
 from basilwall.configuration.platform_watch import PlatformWatch
+from basilwall.configuration.transfer_progress import TransferProgress
 from basilwall.fleet.change_client import ChangeClient, log_changes
 from basilwall.fleet.changes import ChangesRequest
+from basilwall.fleet.http_calls import CallLimits
 from basilwall.parts.clock import Clock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.rendezvous import rank_addresses
@@ -39,8 +41,10 @@
 VMS_PER_READER = 13
 #: Longest time that a reader holds a request open without a change.
 HOLD_SECONDS = 1.5
-#: Further time after which a request to a reader times out.
+#: Further time after which a reader that has not replied is given up.
 GRACE_SECONDS = 0.7
+#: Longest transfer of a reply of a reader.
+MAX_TRANSFER_SECONDS = 3.0
 #: Data of the store that is older than this is not used.
 MAX_AGE_SECONDS = 2.8
 #: A VM whose data has this age stops waiting for a reader.
@@ -169,7 +173,10 @@
         relayed = self._client.fetch(
             reader,
             ChangesRequest(after, hold_seconds),
-            min(hold_seconds + GRACE_SECONDS, seconds_left),
+            CallLimits(
+                min(hold_seconds + GRACE_SECONDS, seconds_left),
+                MAX_TRANSFER_SECONDS,
+            ),
         )
         if relayed.age > MAX_AGE_SECONDS:
             raise PlatformError(f'data of the store {relayed.age:.1f} s old')
@@ -247,19 +254,25 @@
         watch: PlatformWatch,
         reader: RelayedReader,
         clock: Clock,
+        progress: TransferProgress,
     ) -> None:
         self._watch = watch
         self._reader = reader
         self._clock = clock
+        self._progress = progress
 
     def age_seconds(self) -> float:
-        """Return the time since the store was read, in seconds."""
+        """Return the time since the store was read, in seconds.
+
+        While a reply of the store is being received, it is the time since its
+        last piece came.
+        """
         read_at = self._watch.health.last_read_at
         if read_at is None:
             return math.inf
-        return (
-            self._clock.monotonic() - read_at + self._reader.reply_age_seconds
-        )
+        known_at = read_at - self._reader.reply_age_seconds
+        known_at = max(known_at, self._progress.contact_at())
+        return self._clock.monotonic() - known_at
 
     def removals_held_until(self) -> float:
         """Return until when removals are held back, in monotonic seconds.
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -28,6 +28,7 @@
     WatchReply,
 )
 from basilwall.configuration.limited_read import read_body
+from basilwall.configuration.transfer_progress import TransferProgress
 from basilwall.records.catalogue import PublishedValue
 
 #: Added to the duration of a watch to get the timeout of its call.
@@ -93,9 +94,18 @@
 class HttpStoreClient(PlatformReader):
     """Client of the metadata store at one address."""
 
-    def __init__(self, address: str, watch_seconds: float) -> None:
-        """Create a client whose watches the store holds for `watch_seconds`."""
+    def __init__(
+        self, address: str, watch_seconds: float, progress: TransferProgress
+    ) -> None:
+        """Create a client.
+
+        Args:
+            address: The address of the store.
+            watch_seconds: For how long the store holds a watch.
+            progress: Learns of the replies that are being received.
+        """
         self.call_count = 0
+        self._progress = progress
         self._address = address
         self._watch_seconds = watch_seconds
         self._connection: http.client.HTTPConnection | None = None
@@ -175,7 +185,8 @@
             _ensure_connected(connection, timeout)
             connection.request('GET', path)
             response = connection.getresponse()
-            body = read_body(response)
+            with self._progress.receiving():
+                body = read_body(response, on_piece=self._progress.note_piece)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise PlatformError(repr(error)) from error
--- a/basilwall/platform/store_test.py
+++ b/basilwall/platform/store_test.py
@@ -3,6 +3,8 @@
 import pytest
 
 from basilwall.configuration.client import PlatformError
+from basilwall.configuration.transfer_progress import TransferProgress
+from basilwall.parts.clock import SystemClock
 from basilwall.platform.store import (
     MAX_EPOCH,
     REVISIONS_PER_EPOCH,
@@ -23,7 +25,8 @@
 
 @pytest.fixture(name='client')
 def _client(store):
-    return HttpStoreClient(store.address, watch_seconds=0.2)
+    progress = TransferProgress(SystemClock())
+    return HttpStoreClient(store.address, 0.2, progress)
 
 
 def watch_after_restart(client, after):
