Catch up after hearing of a change once

A VM that heard of a later revision waited 0.8 s and then for someone to tell it again; while few VMs are ahead nobody does for seconds. Now a VM that is behind asks one of those it heard of when the 0.8 s are over, and the next one if that is silent. Both tests failed before (no method to call: the second hearing was the only trigger).

--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -111,6 +111,7 @@
         _register_gauges(metrics, serving, fleet, store_access, routing_state)
         tasks.start_loop(fleet.gossip.run)
         tasks.start_loop(partial(store_access.watch.run, tasks.stopping))
+        tasks.start_loop(partial(store_access.catch_up.run, tasks.stopping))
         stop_state = serving.callers.stop_state
         ready = partial(_readiness, routing_state, stop_state)
         endpoints_by_address: dict[str, Endpoints] = {
--- a/basilwall/fleet/catch_up.py
+++ b/basilwall/fleet/catch_up.py
@@ -1,9 +1,10 @@
 """Catches up with other VMs if this VM's own reads of the store fall behind.
 
 VMs tell each other the revision that they know. A VM that hears of a higher
-one gets the changes from the VM that knows it, unless its own read brings them
-first. This way does not depend on the one by which a VM usually reads: a call
-that hangs, or a store that turns this VM away, delays no change for long.
+one, if only once, gets the changes from a VM that knows it, unless its own
+read brings them first. This way does not depend on the one by which a VM
+usually reads: a call that hangs, or a store that turns this VM away, delays no
+change for long.
 """
 
 import http.client
@@ -23,6 +24,10 @@
 
 #: Time for which this VM's own read may be behind another VM.
 PATIENCE_SECONDS = 0.8
+#: Time between two checks while this VM is behind.
+RETRY_SECONDS = 0.2
+#: How often a loop with nothing to do looks whether it is to stop.
+IDLE_SECONDS = 1.0
 FETCH_HEAD_SECONDS = 1.5
 FETCH_TRANSFER_SECONDS = 3.0
 _FETCH_LIMITS = CallLimits(FETCH_HEAD_SECONDS, FETCH_TRANSFER_SECONDS)
@@ -58,9 +63,18 @@
         #: The revision that this VM has been behind, and since when.
         self._awaited_revision = 0
         self._behind_since = clock.monotonic()
+        self._revision_by_vm: dict[VmAddress, int] = {}
         self._is_fetching = False
+        self._has_heard = threading.Event()
         self._lock = threading.Lock()
 
+    def run(self, stopping: threading.Event) -> None:
+        """Get changes that this VM's own reads do not bring, until stopped."""
+        while not stopping.is_set():
+            if self._has_heard.wait(IDLE_SECONDS):
+                stopping.wait(RETRY_SECONDS)
+                self.check()
+
     def own_revision(self) -> int:
         """Return the revision up to which this VM knows all changes."""
         return self._watch.health.revision
@@ -78,21 +92,42 @@
             vm: The address of the VM.
             revision: The revision up to which it knows all changes.
         """
+        own, now = self.own_revision(), self._clock.monotonic()
+        if revision <= own:
+            return
+        with self._lock:
+            if self._awaited_revision <= own:
+                self._awaited_revision, self._behind_since = revision, now
+            self._revision_by_vm[vm] = revision
+        self._has_heard.set()
+        self.check()
+
+    def check(self) -> None:
+        """Get the changes from a VM that knows them, if it is time."""
         with self._lock:
-            if self._is_fetching or not self._is_due(revision):
+            self._forget_reached()
+            if self._is_fetching or not self._is_due():
                 return
             self._is_fetching = True
+            # A VM that does not reply is asked again only once it is heard of.
+            vm, _ = self._revision_by_vm.popitem()
         self._tasks.start(partial(self._fetch, vm))
 
-    def _is_due(self, revision: int) -> bool:
-        own, now = self.own_revision(), self._clock.monotonic()
-        if revision <= own:
+    def _forget_reached(self) -> None:
+        own = self.own_revision()
+        self._revision_by_vm = {
+            vm: revision
+            for vm, revision in self._revision_by_vm.items()
+            if revision > own
+        }
+        if not self._revision_by_vm:
+            self._has_heard.clear()
+
+    def _is_due(self) -> bool:
+        if not self._revision_by_vm:
             return False
-        if self._awaited_revision <= own:
-            self._awaited_revision, self._behind_since = revision, now
         is_own_read_failing = self._watch.health.failures > 0
-        is_overdue = now - self._behind_since >= PATIENCE_SECONDS
-        return is_own_read_failing or is_overdue
+        return is_own_read_failing or self.behind_seconds() >= PATIENCE_SECONDS
 
     def _fetch(self, vm: VmAddress) -> None:
         request = ChangesRequest(self.own_revision(), is_catching_up=True)
--- a/basilwall/fleet/catch_up_test.py
+++ b/basilwall/fleet/catch_up_test.py
@@ -107,6 +107,27 @@
     assert vm.body() == b'new'
 
 
+def test_a_vm_that_hears_once_of_a_change_catches_up(vm):
+    vm.catch_up.record_peer_revision(PEER, 5)
+    vm.catch_up.check()
+    assert vm.body() == b'old'
+    vm.clock.advance(PATIENCE_SECONDS + 0.1)
+    vm.catch_up.check()
+    assert vm.body() == b'new'
+
+
+def test_a_vm_asks_another_one_if_the_first_is_silent(vm):
+    vm.client.is_silent = True
+    vm.catch_up.record_peer_revision(PEER, 5)
+    vm.catch_up.record_peer_revision('10.0.0.3:1', 5)
+    vm.clock.advance(PATIENCE_SECONDS + 0.1)
+    vm.catch_up.check()
+    vm.client.is_silent = False
+    vm.catch_up.check()
+    assert vm.body() == b'new'
+    assert {asked for asked, _ in vm.client.requests} == {PEER, '10.0.0.3:1'}
+
+
 def test_a_vm_that_reads_in_time_makes_no_call(vm):
     for revision in (4, 5, 6):
         vm.catch_up.record_peer_revision(PEER, revision)
--- a/basilwall/fleet/narrow_links_test.py
+++ b/basilwall/fleet/narrow_links_test.py
@@ -227,6 +227,7 @@
         for vm in fleet.values():
             tasks.start(partial(vm.watch.run, tasks.stopping))
             tasks.start(partial(vm.gossip, tasks.stopping))
+            tasks.start(partial(vm.catch_up.run, tasks.stopping))
         yield list(fleet.values())
         tasks.stopping.set()
 
