Choose VMs with the widest links as readers of the store

A version of 2,800 routes is 692 kB from the store: 0.8 s over 7 Mbit/s, 0.1 s over 70, and it is relayed to nine VMs over the same link. VMs tell the width of their links; the widest read, drawn among equals. Older builds tell none and come last. A transfer that goes on counts as contact for 8 s, not 4, since each other VM would take as long.

--- a/basilwall/configuration/transfer_progress.py
+++ b/basilwall/configuration/transfer_progress.py
@@ -14,7 +14,7 @@
 #: A transfer without a byte for this long counts as stalled.
 STALL_SECONDS = 0.5
 #: A longer transfer counts as stalled, too.
-MAX_TRANSFER_SECONDS = 4.0
+MAX_TRANSFER_SECONDS = 8.0
 
 
 class TransferProgress:
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -244,6 +244,7 @@
         incarnation,
         settings.place.zone,
         relay_address=settings.relay_address,
+        link_mbps=settings.link_mbps,
     )
     membership = Membership(own, clock, settings.seeds)
     quarantine = Quarantine(clock, moment_seconds=OUTAGE_MOMENT_SECONDS)
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -52,6 +52,7 @@
     # Where it takes relayed requests, empty for nowhere.
     relay_address: str = ''
     reaches_searchers: bool = True
+    link_mbps: float = 0
 
 
 class _WireStrike(msgspec.Struct, array_like=True):
@@ -227,6 +228,7 @@
         member.leaving,
         member.relay_address,
         member.reaches_searchers,
+        member.link_mbps,
     )
 
 
@@ -238,4 +240,5 @@
         member.leaving,
         VmAddress(member.relay_address),
         member.reaches_searchers,
+        member.link_mbps,
     )
--- a/basilwall/fleet/relayed_reader.py
+++ b/basilwall/fleet/relayed_reader.py
@@ -1,9 +1,9 @@
 """Reads the store, or gets its changes from a VM that reads it.
 
 Each call to the store is paid for, and a change ends all watches at once. So
-in a large region only a few VMs (the readers) read the store. They are chosen
-by rendezvous hashing over the VMs that each VM knows. The other VMs watch one
-of the readers.
+in a large region only a few VMs (the readers) read the store: those with the
+widest links, since these relay large values soonest, chosen by rendezvous
+hashing among equals. The other VMs watch one of the readers.
 
 A reader sends the age of its data. A VM waits for a reader only until its own
 data has a certain age, whatever the reader does meanwhile, and then reads the
@@ -73,17 +73,19 @@
         Their addresses in order of preference; only that of `own` if all VMs
         of the region are to read.
     """
-    neighbours = {
-        member.address
+    link_mbps_by_address = {
+        member.address: member.link_mbps
         for member in known
         if _is_in_region(member, location) and not member.leaving
     }
-    if len(neighbours) + 1 <= MAX_VMS_ALL_READ:
+    link_mbps_by_address[own.address] = own.link_mbps
+    if len(link_mbps_by_address) <= MAX_VMS_ALL_READ:
         return [own.address]
-    addresses = {own.address, *neighbours}
-    by_size = math.ceil(len(addresses) / VMS_PER_READER)
+    by_size = math.ceil(len(link_mbps_by_address) / VMS_PER_READER)
     count = max(by_size, MIN_READERS_PER_REGION)
-    return rank_addresses(addresses)[:count]
+    ranked = rank_addresses(link_mbps_by_address)
+    ranked.sort(key=lambda address: -link_mbps_by_address[address])
+    return ranked[:count]
 
 
 def _is_in_region(member: Member, location: VmLocation) -> bool:
--- a/basilwall/fleet/relayed_reader_test.py
+++ b/basilwall/fleet/relayed_reader_test.py
@@ -193,6 +193,21 @@
     assert len(chosen.pop()) == 2
 
 
+def test_vms_with_narrow_links_are_no_readers_while_others_are_there():
+    members = [
+        Member(
+            f'10.0.0.{number}:1', 'a', 'zone', link_mbps=70 if number < 5 else 7
+        )
+        for number in range(1, 20)
+    ]
+    wide = members[:4]
+    chosen = region_readers(members[-1], members[:-1], LOCATION)
+    assert {member.address for member in wide} > set(chosen)
+    chosen = region_readers(members[-1], members[3:-1], LOCATION)
+    assert wide[3].address in chosen
+    assert len(chosen) == 2
+
+
 @pytest.mark.parametrize('vms', [5, 13, 50, 315])
 def test_no_reader_relays_to_more_vms_than_its_link_bears(vms):
     members = [
--- a/basilwall/parts/membership.py
+++ b/basilwall/parts/membership.py
@@ -30,6 +30,7 @@
 
     `relay_address` is where it takes requests that other VMs relay to it, empty
     if it takes none. `reaches_searchers` is False while it has no link to any.
+    `link_mbps` is the width of its network link, 0 if unknown.
     """
 
     address: VmAddress
@@ -38,6 +39,7 @@
     leaving: bool = False
     relay_address: VmAddress = NO_ADDRESS
     reaches_searchers: bool = True
+    link_mbps: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilwall/platform/node.py
+++ b/basilwall/platform/node.py
@@ -36,6 +36,8 @@
 class _Limits(msgspec.Struct):
     memory_mb: int
     max_fds: int
+    # Width of this VM's network link; 0 if the platform does not tell.
+    link_mbps: float = 0
 
 
 class _Bounds(msgspec.Struct):
@@ -115,6 +117,7 @@
         metrics_address=f'{node.ip}:{METRICS_PORT}',
         memory_mb=node.limits.memory_mb,
         descriptors=node.limits.max_fds,
+        link_mbps=node.limits.link_mbps,
         bounds=_bounds(node.bounds),
     )
 
--- a/basilwall/settings/entry.py
+++ b/basilwall/settings/entry.py
@@ -17,7 +17,8 @@
 
     `place` holds the availability zone of this VM, `seeds` are peer addresses
     of other VMs, `relay_address` is where this VM takes requests that other VMs
-    relay to it, `descriptors` is the limit of open file descriptors.
+    relay to it, `descriptors` is the limit of open file descriptors and
+    `link_mbps` the width of its network link, 0 if unknown.
     """
 
     name: str
@@ -32,3 +33,4 @@
     memory_mb: int
     descriptors: int
     bounds: Bounds
+    link_mbps: float = 0
