Answer every caller beside an odd entry among those of the searchers

Cause: an address was checked by its shape where it was decoded and taken apart again at each use. Now one function reads it, once where a value is decoded and at the sockets; a warm-up and a start are bounded. Same class elsewhere: an unexpected error while one value is applied refuses this value and no longer stops the watch before all later ones; a listener that fails holds up no other; a request in which anything unexpected fails is answered 502 with a time to come back. basilwall serve: addresses of searchers and VMs that no socket can reach are left out of catalogue and fleet list (a connection's task ended, and with it all queries queued there); more than 4,096 connections are refused (it started a task for each).

--- a/basilwall/backend/probe.py
+++ b/basilwall/backend/probe.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 
+from basilwall.records.endpoint import parse_address
 from basilwall.records.ids import SearcherAddress
 
 MS_PER_SECOND = 1000
@@ -155,9 +156,9 @@
 
 @contextmanager
 def _connecting(address: SearcherAddress) -> Iterator[socket.socket]:
-    host, _, port = address.rpartition(':')
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    endpoint = parse_address(address)
+    family = socket.AF_INET6 if endpoint.is_ipv6 else socket.AF_INET
     with socket.socket(family) as sock:
         sock.setblocking(False)
-        sock.connect_ex((host.strip('[]'), int(port)))
+        sock.connect_ex((endpoint.host, endpoint.port))
         yield sock
--- a/basilwall/backend/restart_detector.py
+++ b/basilwall/backend/restart_detector.py
@@ -12,6 +12,7 @@
 import threading
 
 from basilwall.parts.leaving_searchers import LeavingSearchers
+from basilwall.records.endpoint import parse_address
 from basilwall.records.ids import SearcherAddress
 
 #: Time between two checks of all leaving searchers.
@@ -42,10 +43,10 @@
             self._check_port(address)
 
     def _check_port(self, address: SearcherAddress) -> None:
-        host, _, port = address.rpartition(':')
         try:
+            endpoint = parse_address(address)
             socket.create_connection(
-                (host, int(port)),
+                (endpoint.host, endpoint.port),
                 CONNECT_TIMEOUT_SECONDS,
             ).close()
         except ConnectionRefusedError:
--- a/basilwall/configuration/state.py
+++ b/basilwall/configuration/state.py
@@ -4,7 +4,9 @@
 refused changes nothing. An empty value means that the key was removed.
 """
 
-from collections.abc import Callable
+import logging
+from collections.abc import Callable, Iterable, Iterator
+from typing import TypeVar
 
 import msgspec
 
@@ -18,8 +20,15 @@
 )
 from basilwall.document.model import Document
 from basilwall.records.catalogue import Catalogue, FleetList, PublishedValue
-from basilwall.records.ids import SearcherAddress, ServiceName
+from basilwall.records.endpoint import InvalidAddressError, parse_address
+from basilwall.records.ids import SearcherAddress, ServiceName, VmAddress
 
+#: Higher numbers of slots or connections of a searcher are refused.
+MAX_CONNECTIONS = 4096
+
+AddressT = TypeVar('AddressT', SearcherAddress, VmAddress)
+
+_log = logging.getLogger(__name__)
 _catalogue_decoder = msgspec.json.Decoder(Catalogue)
 _fleet_decoder = msgspec.json.Decoder(FleetList)
 
@@ -35,6 +44,7 @@
     CheckError,
     msgspec.MsgspecError,
     ValueError,
+    ArithmeticError,
     RecursionError,
 )
 
@@ -125,11 +135,53 @@
             raise RefusedValueError(
                 f'{key}: slots and connections must be at least 1'
             )
-        self.catalogue_by_service[service] = catalogue
+        if max(catalogue.slots, catalogue.connections) > MAX_CONNECTIONS:
+            raise RefusedValueError(
+                f'{key}: more than {MAX_CONNECTIONS} slots or connections'
+            )
+        self.catalogue_by_service[service] = _without_odd_searchers(catalogue)
 
     def _apply_fleet(self, published: PublishedValue) -> None:
-        if published.key == FLEET_KEY:
-            self.fleet = _fleet_decoder.decode(published.body)
+        if published.key != FLEET_KEY:
+            return
+        fleet = _fleet_decoder.decode(published.body)
+        addresses = [vm.address for vm in fleet.vms]
+        valid = set(_valid_addresses(addresses))
+        self.fleet = msgspec.structs.replace(
+            fleet,
+            vms=tuple(vm for vm in fleet.vms if vm.address in valid),
+        )
+
+
+def _without_odd_searchers(catalogue: Catalogue) -> Catalogue:
+    """Return a catalogue entry without the searchers that can't be reached."""
+    return msgspec.structs.replace(
+        catalogue,
+        snapshots=tuple(
+            msgspec.structs.replace(
+                snapshot,
+                parts=tuple(
+                    msgspec.structs.replace(
+                        part,
+                        searchers=tuple(_valid_addresses(part.searchers)),
+                    )
+                    for part in snapshot.parts
+                ),
+            )
+            for snapshot in catalogue.snapshots
+        ),
+    )
+
+
+def _valid_addresses(addresses: Iterable[AddressT]) -> Iterator[AddressT]:
+    """Yield the addresses that a socket can connect to; log the others."""
+    for address in addresses:
+        try:
+            parse_address(address)
+        except InvalidAddressError as error:
+            _log.warning('invalid address', extra={'error': str(error)})
+        else:
+            yield address
 
 
 def _wrong_service(key: str, service: ServiceName) -> str:
--- a/basilwall/configuration/state_test.py
+++ b/basilwall/configuration/state_test.py
@@ -29,6 +29,14 @@
         (CATALOGUE, b'{"service": "another", "snapshots": []}'),
         (CATALOGUE, b'{"service": "one", "snapshots": [], "slots": 0}'),
         (CATALOGUE, b'[' * 100_000),
+        (
+            CATALOGUE,
+            b'{"service": "one", "snapshots": [], "connections": %d}' % 2**62,
+        ),
+        (
+            CATALOGUE,
+            b'{"service": "one", "snapshots": [], "slots": %s}' % (b'9' * 5000),
+        ),
         (FLEET_KEY, b''),
         (FLEET_KEY, b'{"vms": 3}'),
     ],
@@ -68,3 +76,16 @@
     assert state.is_ready()
     state.has_synced = False
     assert not state.is_ready()
+
+
+def test_searchers_and_vms_that_no_socket_can_reach_are_left_out():
+    state = PlatformState()
+    odd = ['10.0.0.2:99999', '999.0.0.1:80', 'searcher.example:80', '']
+    part = {'instance': 'i', 'searchers': ['10.0.0.1:80', *odd]}
+    snapshot = {'snapshot_id': 's', 'parts': [part]}
+    catalogue = {'service': 'one', 'snapshots': [snapshot]}
+    assert not apply(state, CATALOGUE, 1, json.dumps(catalogue).encode())
+    assert state.searchers('one') == {'10.0.0.1:80'}
+    fleet = {'vms': [{'address': one} for one in ('10.0.0.9:1', *odd)]}
+    assert not apply(state, FLEET_KEY, 2, json.dumps(fleet).encode())
+    assert [vm.address for vm in state.fleet.vms] == ['10.0.0.9:1']
--- a/basilwall/forwarding/connection.py
+++ b/basilwall/forwarding/connection.py
@@ -9,6 +9,7 @@
 
 from basilwall.forwarding.connection_pools import PooledConnection
 from basilwall.parts.clock import Clock
+from basilwall.records.endpoint import parse_address
 from basilwall.records.searcher import Searcher
 
 #: An idle connection is closed this long before its searcher would close it.
@@ -29,7 +30,7 @@
         self.usable_until = self.connect_started_at + DEFAULT_IDLE_SECONDS
         self.is_connected = False
         self.connect_seconds: float | None = None
-        host, _, port = searcher.address.rpartition(':')
+        endpoint = parse_address(searcher.address)
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setblocking(False)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -38,7 +39,7 @@
             socket.TCP_USER_TIMEOUT,
             TCP_USER_TIMEOUT_MS,
         )
-        failure = self.socket.connect_ex((host, int(port)))
+        failure = self.socket.connect_ex((endpoint.host, endpoint.port))
         self.failure = 0 if failure == errno.EINPROGRESS else failure
 
     def has_input(self) -> bool:
--- a/basilwall/forwarding/connection_pools.py
+++ b/basilwall/forwarding/connection_pools.py
@@ -73,15 +73,20 @@
         self._lock = threading.Lock()
 
     def checkout(self, searcher: Searcher) -> ConnectionT:
-        """Return an idle connection to a searcher, or open a new one."""
+        """Return an idle connection to a searcher, or open a new one.
+
+        Raises:
+            OSError: If this VM can't open a socket.
+        """
         pool = self._pool(searcher)
         now = self._clock.monotonic()
         while True:
             with self._lock:
                 idle_connection = pool.idle.pop() if pool.idle else None
                 if idle_connection is None:
+                    opened = self._connect(searcher)
                     pool.open_count += 1
-                    return self._connect(searcher)
+                    return opened
             if (
                 idle_connection.usable_until > now
                 and not idle_connection.has_input()
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Routes a caller's request, runs its attempts and builds its answer."""
 
+import logging
 import random
 import socket
 from collections.abc import Iterator, Mapping
@@ -33,6 +34,8 @@
 HTTP_NOT_FOUND = 404
 RETRY_AFTER_NO_TABLE_SECONDS = 1.0
 
+_log = logging.getLogger(__name__)
+
 
 class Forwarder:
     """Serves requests by the current route table."""
@@ -76,6 +79,11 @@
             answer = self._answer(call, table, route, caller, trail)
         except CallerLeftError:
             answer = Answer(Verdict.CALLER_LEFT, 0)
+        except Exception:
+            # A caller is answered whatever goes wrong; the request may have
+            # been sent before.
+            _log.exception('request failed', extra={'request': call.request_id})
+            answer = self._answers.given_up()
         self._reporter.report_end(call, route, table, answer, trail)
         return replace(
             answer,
--- a/basilwall/parts/revisions.py
+++ b/basilwall/parts/revisions.py
@@ -77,7 +77,7 @@
         with self._apply_lock:
             if not self._is_newer(key, revision):
                 return False
-            reason = self._apply(published)
+            reason = _apply_safely(self._apply, published)
             if reason:
                 self._refuse(key, revision, reason)
                 return False
@@ -193,6 +193,15 @@
         return KeyDigest(stored.revision if stored else 0, refusal.revision)
 
 
+def _apply_safely(apply: Apply, published: PublishedValue) -> str:
+    """Apply a value; an error refuses it, so that others are still applied."""
+    try:
+        return apply(published)
+    except Exception as error:
+        _log.exception('value not applied', extra={'key': published.key})
+        return repr(error)
+
+
 def _notify(listeners: Iterable[Listener], published: PublishedValue) -> None:
     for listener in listeners:
         try:
--- a/basilwall/parts/revisions_test.py
+++ b/basilwall/parts/revisions_test.py
@@ -167,3 +167,15 @@
     assert checked == [2]
     assert register.keys_to_request({'a': KeyDigest(2)}) == []
     assert register.keys_to_request({'a': KeyDigest(3)}) == ['a']
+
+
+def test_a_value_whose_check_fails_with_an_error_holds_up_no_other():
+    def apply(published):
+        if published.body == b'odd':
+            raise OverflowError('too large')
+        return ''
+
+    register = RevisionRegister(apply)
+    assert not register.offer(PublishedValue('odd', 1, b'odd'))
+    assert register.offer(PublishedValue('other', 2, b'good'))
+    assert 'too large' in register.refusals(['odd'])['odd'].reason
--- a/basilwall/platform/values.py
+++ b/basilwall/platform/values.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from basilwall.records.endpoint import InvalidAddressError, parse_address
 from basilwall.records.ids import (
     RouteName,
     SearcherAddress,
@@ -32,7 +33,6 @@
 TABLE_KEY = 'op/config'
 SEARCHER_PREFIX = 'servers/'
 MS_PER_SECOND = 1000
-_ADDRESS = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
 #: Ids are written into headers unescaped, so only visible ASCII is valid.
 _SEARCHER_ID = re.compile('[!-~]{1,190}')
 
@@ -40,10 +40,15 @@
 MAX_NAME_CHARACTERS = 256
 #: Higher counts are refused as invalid.
 MAX_COUNT = 2_147_483_648
+#: Later starts are refused as invalid; the year 2255.
+MAX_UNIX_MS = 9_007_199_254_740_992
+#: No searcher is slow for longer after its start.
+MAX_WARMUP_SECONDS = 3600.0
 _Text = Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)
 ]
 _Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 
 
 class UnreadableValueError(Exception):
@@ -65,7 +70,7 @@
     # How much longer the searcher is slow after its start.
     cold_left_ms: float
     # Start time of the process (not of the entry), in Unix milliseconds.
-    born: int = 0
+    born: _UnixMs = 0
     # Version of the searcher's software, not of its index.
     version: str = ''
     # Number of the searcher's reports; not a measure of its load.
@@ -121,7 +126,13 @@
 }
 
 #: Errors that decoding raises on invalid bytes.
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, KeyError, RecursionError)
+_DECODE_ERRORS = (
+    msgspec.MsgspecError,
+    ValueError,
+    KeyError,
+    ArithmeticError,
+    RecursionError,
+)
 
 
 def decode_searcher(key: str, value: bytes) -> Searcher:
@@ -142,11 +153,15 @@
     except _DECODE_ERRORS as error:
         raise UnreadableValueError(str(error)) from error
     searcher_id = key.removeprefix(SEARCHER_PREFIX)
-    has_id = _SEARCHER_ID.fullmatch(searcher_id)
-    if not (has_id and _ADDRESS.fullmatch(entry.address)):
-        raise UnreadableValueError(
-            f'invalid searcher id or address {entry.address!r}'
-        )
+    if not _SEARCHER_ID.fullmatch(searcher_id):
+        raise UnreadableValueError('invalid searcher id')
+    try:
+        endpoint = parse_address(entry.address)
+    except InvalidAddressError as error:
+        raise UnreadableValueError(f'invalid address: {error}') from error
+    if endpoint.is_ipv6:
+        raise UnreadableValueError('invalid address: IPv6')
+    warmup_seconds = entry.cold_left_ms / MS_PER_SECOND
     return Searcher(
         SearcherId(searcher_id),
         ServiceName(entry.service),
@@ -154,7 +169,7 @@
         Zone(entry.zone),
         entry.capacity,
         entry.state is _State.DRAINING,
-        entry.cold_left_ms / MS_PER_SECOND,
+        min(max(warmup_seconds, 0), MAX_WARMUP_SECONDS),
         entry.born,
     )
 
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -264,4 +264,11 @@
             for listed in self._searchers_by_key.values()
         }
         for listener in self._listeners:
-            listener()
+            _notify(listener)
+
+
+def _notify(listener: Callable[[], None]) -> None:
+    try:
+        listener()
+    except Exception:
+        _log.exception('listener of searchers failed')
