Show that an answer whose head is cut off is no success

Another operator's report: a searcher stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It does not happen here: the head of a reply exists only once its empty line was read, on the entry VM, between VMs (the same reader) and in basilwall serve (its reader of heads wants each line whole; the tests of damaged replies cut them anywhere).

--- a/basilwall/forwarding/reply_reader_test.py
+++ b/basilwall/forwarding/reply_reader_test.py
@@ -225,3 +225,25 @@
     assert given_up >= 15
     assert budget.used <= budget.limit
     assert ReplyReader(b'GET', is_own, budget).feed(OWN).body == b'abc'
+
+
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+SIGNED = (
+    b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: own\r\n'
+    b'Content-Length: 3\r\nConnection: close\r\n\r\n'
+)
+
+
+HEADS = (SIGNED, UNFRAMED.partition(b'abc')[0])
+
+
+@pytest.mark.parametrize('method', [b'GET', b'HEAD'])
+@pytest.mark.parametrize('before', [b'', INTERIM, OTHER])
+@given(head=st.sampled_from(HEADS), share=st.floats(0, 1, exclude_max=True))
+def test_a_head_that_is_cut_anywhere_is_no_answer(method, before, head, share):
+    stream = before + head[: int(len(head) * share)]
+    reply_reader = ReplyReader(method, is_own, ByteBudget(MEMORY_BYTES))
+    if stream:
+        assert reply_reader.feed(stream) is None
+    with pytest.raises(InvalidReplyError):
+        reply_reader.feed(b'')
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -39,7 +39,8 @@
     SHED: Refuses with 503 and `Not-Executed`, without running the request.
     FAIL: Answers with 500.
     RESET: Resets the connection.
-    CUT_SHORT: Closes the connection in the middle of the answer.
+    CUT_SHORT: Closes the connection in the middle of the answer's body.
+    CUT_HEAD: Closes the connection in the middle of the answer's head.
     SPOIL: Sends bytes that are not HTTP.
     EXTRA_AFTER: Sends the answer to another request after its own.
     OTHER_BEFORE: Sends the answer to another request before its own.
@@ -56,6 +57,7 @@
     FAIL = 'fail'
     RESET = 'reset'
     CUT_SHORT = 'cut_short'
+    CUT_HEAD = 'cut_head'
     SPOIL = 'spoil'
     EXTRA_AFTER = 'extra_after'
     OTHER_BEFORE = 'other_before'
@@ -67,6 +69,10 @@
     CRASH = 'crash'
 
 
+#: The connection is closed after these.
+_CLOSING_BEHAVIOURS = frozenset(
+    (Behaviour.CUT_SHORT, Behaviour.CUT_HEAD, Behaviour.UNFRAMED)
+)
 #: What is sent first, and then again and again.
 _ENDLESS_BY_BEHAVIOUR = MappingProxyType(
     {
@@ -270,7 +276,7 @@
         status_line, _, rest = response.partition(b'\r\n')
         more = self._announcements(behaviour)
         connection.sendall(b'\r\n'.join([status_line, *more, rest]))
-        return behaviour not in {Behaviour.CUT_SHORT, Behaviour.UNFRAMED}
+        return behaviour not in _CLOSING_BEHAVIOURS
 
     def _announcements(self, behaviour: Behaviour) -> list[bytes]:
         headers = [b'Server-Leaving: 1'] if self.announced.is_leaving else []
@@ -308,6 +314,7 @@
                 HTTP_UNAVAILABLE, request_id, signature, 0
             ),
             Behaviour.CUT_SHORT: answer[: -size // 2],
+            Behaviour.CUT_HEAD: answer.partition(b'\r\n\r\n')[0],
             Behaviour.SPOIL: b'\x00\xffnothing of HTTP\r\n\r\n',
             Behaviour.EXTRA_AFTER: b''.join((answer, other)),
             Behaviour.OTHER_BEFORE: b''.join((other, answer)),
