Answer all that comes late in a planned stop, and refuse what it can't end

The stop waited for open connections and then ended.

Now a planned stop has a time of its last answers that requests know: an attempt gets no longer deadline; what is in flight then is answered (502 with a time to come back, or with the shards that are in); a request that comes with less than 1 s left, or 2 s if it may run only once, is refused at once (503, another VM can serve it). Relayed requests likewise. basilwall serve: once a stop has begun, a request whose deadline lies after its end is not admitted; it was, and cut off.

--- a/basilwall/caller/admission.py
+++ b/basilwall/caller/admission.py
@@ -7,6 +7,7 @@
 load balancer has had time to notice the stop.
 """
 
+import math
 import random
 import threading
 from collections.abc import Iterator
@@ -108,6 +109,9 @@
     ) -> None:
         self.max_in_flight = max_in_flight
         self.in_flight = 0
+        #: When a planned stop ends, in monotonic seconds; a request whose
+        #: deadline is later is refused.
+        self.ends_at = math.inf
         self._clock = clock or SystemClock()
         self._rng = rng or random.Random()
         self._limiter_by_key: dict[
@@ -137,8 +141,8 @@
             The admitted request, on which the block notes congestion.
 
         Raises:
-            NotAdmittedError: If a limit is reached or the time left is too
-                short; nothing was run.
+            NotAdmittedError: If a limit is reached, the time left is too
+                short or a planned stop ends before; nothing was run.
         """
         started_at = self._clock.monotonic()
         limiter = self._limiter_of(document.service, kind)
@@ -180,6 +184,8 @@
         with self._idle:
             if time_left < limiter.typical_seconds * MIN_TIME_SHARE:
                 raise limiter.refuse(RefusalReason.TOO_LATE)
+            if self._clock.monotonic() + time_left > self.ends_at:
+                raise limiter.refuse(RefusalReason.OVERLOADED)
             if not self._has_room(limiter, document, class_name):
                 raise limiter.refuse(RefusalReason.OVERLOADED)
             self.in_flight += 1
--- a/basilwall/caller/admission_test.py
+++ b/basilwall/caller/admission_test.py
@@ -115,3 +115,16 @@
     assert max(newest) > 1.8 * min(newest)
     clock.advance(5)
     assert retry_after.record_refused() < 2
+
+
+def test_a_request_that_a_planned_stop_would_cut_off_is_refused():
+    clock = ManualClock()
+    admission = Admission(MAX_IN_FLIGHT, clock, random.Random(1))
+    admission.ends_at = clock.monotonic() + 2
+    with admission.admit(DOCUMENTS[0], 'desk', time_left=1):
+        clock.advance(1.5)
+    with pytest.raises(NotAdmittedError) as refused:
+        stack = ExitStack()
+        stack.enter_context(admission.admit(DOCUMENTS[0], 'desk', time_left=1))
+    assert refused.value.retry_after_ms > 0
+    assert not admission.in_flight
--- a/basilwall/caller/planned_stop.py
+++ b/basilwall/caller/planned_stop.py
@@ -57,6 +57,7 @@
         self._announce()
         skip_balancer_wait.wait(self._stop.balancer_lag_s)
         ends_at = self._clock.monotonic() + self._stop.limit_s
+        self._admission.ends_at = ends_at
         if not self._admission.wait_idle(self._stop.limit_s / 2):
             # Callers go on; the requests accepted so far need the other half.
             self._server.refuse_new_connections()
--- a/basilwall/caller/planned_stop_test.py
+++ b/basilwall/caller/planned_stop_test.py
@@ -32,6 +32,8 @@
             stop, self.clock, self, self, self.announce, self.hand_over
         ).run(skip_balancer_wait)
 
+    ends_at = None
+
     def announce(self):
         self.steps.append('announced')
 
@@ -65,6 +67,13 @@
     assert vm.steps == ['announced', handed_over, REFUSED]
 
 
+def test_requests_that_last_longer_than_the_stop_are_no_longer_admitted():
+    vm = Vm(has_callers=True)
+    began_at = vm.clock.monotonic()
+    assert vm.stop()
+    assert vm.ends_at == began_at + LIMIT_SECONDS
+
+
 @pytest.mark.parametrize('has_callers', [True, False])
 def test_a_stop_ends_and_says_so_if_requests_never_end(has_callers):
     vm = Vm(has_callers=has_callers, are_stuck=True)
--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -21,7 +21,7 @@
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_transport import SocketTransport
 from basilwall.forwarding.superseded import SupersededAttempts
-from basilwall.ingress.server import Ingress
+from basilwall.ingress.server import Ingress, StopState
 from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.platform.codec import HeaderCodec
@@ -118,6 +118,7 @@
         clock,
     )
     retry_policy = RetryPolicy(lambda: current.value.bounds, fleet.size, clock)
+    stop_state = StopState()
     context = ForwardingContext(
         routing_state,
         selector,
@@ -126,6 +127,7 @@
         crash_detector,
         clock,
         lambda: links.are_lost,
+        stops_at=lambda: stop_state.ends_at,
     )
     links.on_change = partial(_announce_links, fleet)
     relay_connections = RelayConnections(clock, memory)
@@ -135,6 +137,7 @@
         RelayCodec(codec),
         clock,
         rng,
+        lambda: stop_state.ends_at,
     )
     tasks.start_loop(partial(transport.superseded.run, tasks.stopping))
     tasks.start_loop(partial(links.run, tasks.stopping))
@@ -153,6 +156,7 @@
         partial(_caller_limits, routing_state),
         clock,
         _max_connections(settings),
+        stop_state,
     )
     vms = replace(
         callers,
--- a/basilwall/forwarding/context.py
+++ b/basilwall/forwarding/context.py
@@ -1,6 +1,7 @@
 """Collaborators shared by all requests, and the recording of results."""
 
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -30,6 +31,10 @@
     return False
 
 
+def _never() -> float:
+    return math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
     """The collaborators that every request execution uses."""
@@ -43,6 +48,16 @@
     #: Returns whether this VM reaches no searcher at all.
     are_links_lost: Callable[[], bool] = _has_links
     return_times: ReturnTimes = field(default_factory=ReturnTimes)
+    #: Returns when a planned stop gives its last answers, in monotonic seconds.
+    stops_at: Callable[[], float] = _never
+
+    def is_stopped(self) -> bool:
+        """Return whether a planned stop gives its last answers."""
+        return self.clock.monotonic() >= self.stops_at()
+
+    def is_given_up(self) -> bool:
+        """Return whether this VM can't wait for searchers any longer."""
+        return self.is_stopped() or self.are_links_lost()
 
 
 def record_result(
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -90,6 +90,7 @@
         self._deadline = min(
             call.expires_at,
             call.received_at + route.timeout,
+            context.stops_at(),
         )
 
     def admit(self, needed: int) -> bool:
@@ -109,7 +110,8 @@
     def run(self, completion: CompletionPolicy) -> None:
         """Send to every service and wait until the request is complete.
 
-        It also ends if this VM loses its links to all searchers.
+        It also ends if this VM loses its links to all searchers, or when a
+        planned stop gives its last answers.
 
         Args:
             completion: Decides when the request stops waiting.
@@ -134,7 +136,7 @@
         while not completion.is_complete(
             self.subrequests, self._clock.monotonic()
         ):
-            if self._context.are_links_lost():
+            if self._context.is_given_up():
                 return
             self._wait(completion.next_check_at(self._clock.monotonic()))
 
@@ -163,7 +165,7 @@
         self._canary.begin_with(subrequest)
         self._send(subrequest, stats)
         while subrequest.is_open and self._clock.monotonic() < self._deadline:
-            if self._context.are_links_lost():
+            if self._context.is_given_up():
                 break
             self._wait(self._deadline)
         has_answered = subrequest.success is not None
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 )
 from basilwall.forwarding.context import ForwardingContext
 from basilwall.forwarding.execution import RequestExecution
+from basilwall.forwarding.late_requests import answer_due_at, is_too_late
 from basilwall.forwarding.reporting import RequestReporter, Trail
 from basilwall.forwarding.subrequest import SubRequest
 from basilwall.forwarding.transport import CallerLeftError
@@ -33,6 +34,8 @@
 
 HTTP_NOT_FOUND = 404
 RETRY_AFTER_NO_TABLE_SECONDS = 1.0
+#: The other VMs can serve a request at once.
+RETRY_AFTER_STOPPING_SECONDS = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -114,6 +117,12 @@
             return self._have_relayed(call, route, caller, trail)
         if route is None:
             return Answer(Verdict.NO_ROUTE, HTTP_NOT_FOUND)
+        now = self._context.clock.monotonic()
+        if is_too_late(call, route, now, self._context.stops_at()):
+            return self._answers.refusal(
+                Verdict.NOT_TAKEN if call.is_relayed else Verdict.STOPPING,
+                RETRY_AFTER_STOPPING_SECONDS,
+            )
         if self._context.are_links_lost():
             return self._have_relayed(call, route, caller, trail)
         if self._relay is not None and table is not None:
@@ -171,6 +180,8 @@
                 if subrequest.reached_count
             }
         answer = self._answers.of(execution.subrequests, route)
+        if answer.verdict is Verdict.TIMEOUT and self._context.is_stopped():
+            return self._answers.given_up()
         if answer.status == HTTP_OK or not self._context.are_links_lost():
             return answer
         attempts_left = route.max_attempts - max(reached.values(), default=0)
@@ -249,14 +260,14 @@
         table = self._context.routing_state.table
         return RelayRequest(
             call,
-            _deadline(call, route),
+            answer_due_at(call, route),
             min_version=relay.seen_version,
             known_version=table.version if table else 0,
             max_attempts=call.max_attempts,
         )
 
     def _has_expired(self, call: Call, route: Route | None) -> bool:
-        return self._context.clock.monotonic() >= _deadline(call, route)
+        return self._context.clock.monotonic() >= answer_due_at(call, route)
 
     def _subrequests(self, route: Route) -> list[SubRequest]:
         scatter_gather = route.scatter_gather
@@ -286,13 +297,6 @@
         execution.close(caller_left=False)
 
 
-def _deadline(call: Call, route: Route | None) -> float:
-    """Return when an answer is due, in monotonic seconds."""
-    if route is None:
-        return call.expires_at
-    return min(call.expires_at, call.received_at + route.timeout)
-
-
 def _completion_policy(
     call: Call, route: Route, return_seconds: float
 ) -> CompletionPolicy:
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 import socket
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
@@ -48,6 +49,8 @@
     is_stopping: bool = False
     #: Idle connections are closed.
     is_closing_idle: bool = False
+    #: When the last answers are given, in monotonic seconds.
+    ends_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilwall/ingress/vm.py
+++ b/basilwall/ingress/vm.py
@@ -20,7 +20,8 @@
 
 #: The load balancer notices within this time that a VM is not ready.
 BALANCER_LAG_SECONDS = 3.0
-#: Time kept between the end of the stop and the platform's limit.
+#: Time kept between the end of the stop and the platform's limit; half of it is
+#: for sending the last answers.
 FINAL_ANSWERS_SECONDS = 0.8
 #: Time for accepting and answering the connections in the backlog.
 DRAIN_BACKLOG_SECONDS = 1.0
@@ -51,6 +52,7 @@
         started_at = self.clock.monotonic()
         limit = self.settings.value.bounds.stop_limit - FINAL_ANSWERS_SECONDS
         state = self.ingress.stop_state
+        state.ends_at = started_at + limit
         state.is_stopping = True
         self.fleet.membership.announce_leaving()
         self.fleet.gossip.push_to_peers()
@@ -62,7 +64,9 @@
         )
         for acceptor in self.acceptors:
             acceptor.close()
-        self._wait_until(started_at + limit, until_idle=True)
+        self._wait_until(
+            state.ends_at + FINAL_ANSWERS_SECONDS / 2, until_idle=True
+        )
         _log.info('stopped', extra={'cut_off': self._open_connections()})
         return not self._open_connections()
 
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -131,7 +131,8 @@
     PASSED_ON is a searcher's failure that was forwarded to the caller, NO_ROUTE
     and NO_TABLE a request without a matching route or before the first table.
     RELAYED is the answer of another VM, NOT_TAKEN a request that another VM
-    relayed to this one, which can't serve it.
+    relayed to this one, which can't serve it. STOPPING is a request that came
+    too late in a planned stop.
     """
 
     ANSWERED = 'answered'
@@ -149,6 +150,7 @@
     MALFORMED = 'malformed'
     RELAYED = 'relayed'
     NOT_TAKEN = 'not_taken'
+    STOPPING = 'stopping'
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -6,8 +6,9 @@
 another one.
 """
 
+import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
@@ -44,6 +45,10 @@
 NO_SERVICE = ServiceName('')
 
 
+def _never() -> float:
+    return math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class RelayRequest:
     """A request to relay.
@@ -83,7 +88,19 @@
         codec: RelayCodec,
         clock: Clock,
         rng: random.Random,
+        stops_at: Callable[[], float] = _never,
     ) -> None:
+        """Create a relay.
+
+        Args:
+            peers: The VMs that may be asked.
+            connections: The connections to them.
+            codec: Encodes requests and decodes answers.
+            clock: The monotonic clock.
+            rng: Draws the VM that is asked first among equals.
+            stops_at: Returns when a planned stop gives its last answers, in
+                monotonic seconds.
+        """
         #: Newest version of the route table by which a caller was served here.
         self.seen_version = 0
         self._peers = peers
@@ -91,6 +108,7 @@
         self._codec = codec
         self._clock = clock
         self._rng = rng
+        self._stops_at = stops_at
 
     def note_version(self, version: int) -> None:
         """Record that a caller of this VM is served by a route table."""
@@ -117,7 +135,7 @@
         """
         latest = request.deadline - RETURN_MARGIN_SECONDS
         for peer in self._peers.candidates(self._rng)[:MAX_VMS]:
-            if self._clock.monotonic() >= latest:
+            if self._clock.monotonic() >= min(latest, self._stops_at()):
                 break
             outcome = self._ask(request, peer, waiter)
             answer = self._answer(outcome, request.known_version)
@@ -177,11 +195,12 @@
             is_unreached = (
                 silent_seconds >= CONNECT_SECONDS and not attempt.is_sent
             )
-            if is_unreached or now >= request.deadline:
+            deadline = min(request.deadline, self._stops_at())
+            if is_unreached or now >= deadline:
                 return attempt.cancel(LossReason.TIMEOUT)
             if silent_seconds >= SILENCE_SECONDS:
                 self._peers.avoid(peer)
-            seconds = min(CHECK_SECONDS, request.deadline - now)
+            seconds = min(CHECK_SECONDS, deadline - now)
             for _, ended in waiter.wait(seconds):
                 outcome = ended
         return outcome
