--- a/basilwall/forwarding/content_trial.py
+++ b/basilwall/forwarding/content_trial.py
@@ -18,9 +18,9 @@
 #: Searchers that get a content at once of which nothing is known. One of them
 #: may pause, so two answer sooner.
 UNKNOWN_AT_ONCE = 2
-#: Longest wait for the first answer to such a content; a searcher that is only
-#: paused is back by then.
-MAX_TRIAL_SECONDS = 0.3
+#: Longest wait for the first answer to such a content: twice as long as a
+#: crashing one takes.
+MAX_TRIAL_SECONDS = 0.1
 
 #: Searchers whose expected times differ by less are equally good to begin with.
 SAME_SPEED_SECONDS = 0.01
