--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from basilwall.forwarding.completion import CompletionPolicy
-from basilwall.forwarding.content_trial import ContentTrial, FirstAttempts
 from basilwall.forwarding.context import ForwardingContext, record_result
 from basilwall.forwarding.extra_attempt_canary import (
     NO_SEARCHER,
@@ -45,6 +44,8 @@
 #: An attempt with less time left until the deadline is not sent.
 MIN_ATTEMPT_SECONDS = 0.005
 
+FirstAttempts = list[tuple[SubRequest, SearcherStats]]
+
 
 class RequestExecution:
     """The attempts of one request; `close` ends those in flight."""
@@ -130,14 +131,6 @@
                 first_attempts.append((subrequest, stats))
         if len(first_attempts) > 1 and self._is_suspected():
             first_attempts = self._try_first(first_attempts)
-        elif len(first_attempts) > 1:
-            first_attempts = ContentTrial(
-                self._call,
-                self._context,
-                self._canary,
-                self._send,
-                self._wait,
-            ).run(first_attempts, self._deadline)
         for subrequest, stats in first_attempts:
             self._send(subrequest, stats)
         while not completion.is_complete(
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -72,14 +72,6 @@
         self._state = _State.UNKNOWN if is_scattered else _State.HARMLESS
         self._canary: SubRequest | None = None
         self._held: list[SubRequest] = []
-        #: True while only a few attempts are in flight: the request is given
-        #: up if all of them are lost.
-        self.is_trial = False
-
-    @property
-    def is_harmful(self) -> bool:
-        """True if searchers were lost under the content and none answered."""
-        return self._state is _State.HARMFUL
 
     @property
     def hedge_wait(self) -> float:
@@ -116,9 +108,7 @@
             self._retry_or_end(subrequest)
             return
         self._held.append(subrequest)
-        is_lost_in_trial = self.is_trial and len(self._held) > 1
-        is_lost_again = is_lost_in_trial or subrequest is self._canary
-        if self._state is _State.HARMFUL or is_lost_again:
+        if self._state is _State.HARMFUL or subrequest is self._canary:
             self._state, self.late_at = _State.HARMFUL, math.inf
             for held in self._take_held():
                 held.has_ended = True
@@ -142,7 +132,7 @@
         is_late = self._clock.monotonic() >= self.late_at
         if is_late and (self._state is _State.TRYING or not self._held):
             self._pass()
-        elif is_late or not (self._in_flight or self.is_trial):
+        elif is_late or not self._in_flight:
             self._try_next()
 
     def _try_next(self) -> None:
