Don't take a reader that applies a large reply for a stale one

Cause: while a reader receives a large reply, pieces count as contact with the store. When the last one had come this ended, and the read itself counted only once the reply was decoded and applied. In between the reader's data had the age of the read before, 3.4 s here, more than the 2.8 s that followers accept: those whose request was answered then, and the change itself wakes them all, gave the reader up for 8 s and read all versions from the store.

--- a/basilwall/fleet/relayed_reader_test.py
+++ b/basilwall/fleet/relayed_reader_test.py
@@ -14,7 +14,10 @@
     WatchReply,
 )
 from basilwall.configuration.platform_watch import PlatformWatch
-from basilwall.configuration.transfer_progress import TransferProgress
+from basilwall.configuration.transfer_progress import (
+    STALL_SECONDS,
+    TransferProgress,
+)
 from basilwall.fleet.catch_up import CatchUp
 from basilwall.fleet.change_client import ChangeClient
 from basilwall.fleet.change_server import ChangeServer
@@ -118,12 +121,14 @@
             clock,
             random.Random(number),
         )
+        self.progress = TransferProgress(clock)
+        self.freshness = StoreFreshness(
+            self.watch, self.reader, clock, self.progress
+        )
         self.server = ChangeServer(
             self.register,
             self.watch,
-            StoreFreshness(
-                self.watch, self.reader, clock, TransferProgress(clock)
-            ),
+            self.freshness,
             clock,
             lambda: self.reader.is_reader,
         )
@@ -248,6 +253,33 @@
         assert vm.live() == {'k0': b'a'}
 
 
+def test_a_reader_that_applies_a_large_reply_is_not_stale(monkeypatch):
+    contents, clock, fleet = make_fleet()
+    reader = readers_and_followers(fleet)[0][0]
+    assert reader.watch.read()
+    contents.write('k0', b'a')
+    read_at_once = reader.store.watch
+
+    def receive(after):
+        with reader.progress.receiving():
+            for _ in range(10):
+                clock.advance(STALL_SECONDS)
+                reader.progress.note_piece()
+        return read_at_once(after)
+
+    monkeypatch.setattr(reader.store, 'watch', receive)
+    ages = []
+    reader.register.subscribe(
+        lambda _: ages.append(reader.freshness.age_seconds())
+    )
+    reader.watch.on_revision = lambda: ages.append(
+        reader.freshness.age_seconds()
+    )
+    assert reader.watch.read()
+    assert len(ages) == 2
+    assert max(ages) <= MAX_AGE_SECONDS
+
+
 def test_a_vm_turned_away_with_all_readers_catches_up(monkeypatch):
     monkeypatch.setattr(HOLD_SECONDS, 0)
     contents, clock, fleet = make_fleet()
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -185,8 +185,7 @@
             _ensure_connected(connection, timeout)
             connection.request('GET', path)
             response = connection.getresponse()
-            with self._progress.receiving():
-                body = read_body(response, on_piece=self._progress.note_piece)
+            body = self._read_body(response)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise PlatformError(repr(error)) from error
@@ -195,6 +194,12 @@
         self._connection = connection
         return _Response(response.status, body, _read_epoch(response))
 
+    def _read_body(self, response: http.client.HTTPResponse) -> bytes:
+        if response.status != HTTP_OK:
+            return read_body(response)
+        with self._progress.receiving():
+            return read_body(response, on_piece=self._progress.note_piece)
+
 
 def _ensure_connected(
     connection: http.client.HTTPConnection,
--- a/basilwall/platform/store_test.py
+++ b/basilwall/platform/store_test.py
@@ -1,5 +1,7 @@
 """The client of the metadata store: epochs, lost history, listings."""
 
+import math
+
 import pytest
 
 from basilwall.configuration.client import PlatformError
@@ -23,9 +25,13 @@
         store.stop()
 
 
+@pytest.fixture(name='progress')
+def _progress():
+    return TransferProgress(SystemClock())
+
+
 @pytest.fixture(name='client')
-def _client(store):
-    progress = TransferProgress(SystemClock())
+def _client(store, progress):
     return HttpStoreClient(store.address, 0.2, progress)
 
 
@@ -51,6 +57,16 @@
     assert changes.revision == listed.revision + 2
 
 
+def test_a_call_that_the_store_refuses_is_no_contact(store, client, progress):
+    store.is_down = True
+    with pytest.raises(PlatformError):
+        client.watch(0)
+    assert progress.contact_at() == -math.inf
+    store.is_down = False
+    client.watch(0)
+    assert progress.contact_at() > 0
+
+
 def test_a_listing_of_many_pages_is_whole(store, client):
     for number in range(3 * ITEMS_PER_PAGE):
         store.put(f'k{number}', b'x')
