Judge an outage by when a searcher was lost, not by when it is looked into

What callers would see: contents that were on searchers when an outage took these are refused for up to 300 s.

Cause: an unrelated searcher counted as ended in the same outage if another probe had first seen it dead less than 0.1 s before now. Strikes are reviewed 0.08 s after the loss, and a lost searcher may be probed for 0.75 s before the others are. So on a busy machine the review came too late to see the outage that earlier losses had seen, and the strike stood.

Now it counts if it was first seen dead no longer than 0.1 s before the loss that is looked into, however late that is.

--- a/basilwall/backend/crash_tracker.py
+++ b/basilwall/backend/crash_tracker.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from basilwall.backend.loss_classifier import LossClassifier
+from basilwall.backend.loss_classifier import LossClassifier, LostSearcher
 from basilwall.backend.pool import AttemptJob
 from basilwall.parts.clock import Clock
 from basilwall.parts.known_good import KnownGood
@@ -153,13 +153,14 @@
     def _note_loss(self, content: Content, searcher: SearcherAddress) -> None:
         incident = IncidentId(next(self._incident_ids))
         make_strike = partial(Strike, incident, searcher)
+        lost = LostSearcher(content.service, searcher, self._clock.monotonic())
         if not self._classification_slots.acquire(blocking=False):
             self._add_strike(content, make_strike(Evidence.SPARED))
             return
         self._add_strike(content, make_strike(Evidence.PENDING))
         try:
             self._tasks.start(
-                partial(self._run_classification, content, make_strike)
+                partial(self._run_classification, content, lost, make_strike)
             )
         except RuntimeError:
             self._classification_slots.release()
@@ -167,24 +168,18 @@
     def _run_classification(
         self,
         content: Content,
+        lost: LostSearcher,
         make_strike: Callable[[Evidence], Strike],
     ) -> None:
         try:
-            searcher = make_strike(Evidence.PENDING).searcher
-            self._add_strike(
-                content, make_strike(self._classify(content, searcher))
-            )
+            evidence = self._classify(content, lost)
+            self._add_strike(content, make_strike(evidence))
         finally:
             self._classification_slots.release()
 
-    def _classify(
-        self,
-        content: Content,
-        searcher: SearcherAddress,
-    ) -> Evidence:
+    def _classify(self, content: Content, lost: LostSearcher) -> Evidence:
         return self._loss_classifier.classify(
-            content.service,
-            searcher,
+            lost,
             partial(self._crashed_searchers, content),
             self._quarantine.struck_searchers(content.fingerprint),
         )
--- a/basilwall/backend/loss_classifier.py
+++ b/basilwall/backend/loss_classifier.py
@@ -9,6 +9,7 @@
 import threading
 import zlib
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 from basilwall.backend.probe import find_dead
 from basilwall.parts.clock import Clock
@@ -22,9 +23,9 @@
 #: Unrelated searchers probed, and how many must have died for an outage.
 MAX_UNRELATED_PROBED = 12
 MIN_UNRELATED_DEAD = 2
-#: Searchers first seen dead within this time died in the same outage. The
-#: next loss under the same content is classified later than that, so one
-#: outage excuses the content only once.
+#: Searchers that are first seen dead later than this before a loss died in the
+#: same outage. The next loss under the same content comes later than that, so
+#: one outage excuses the content only once.
 SIMULTANEOUS_SECONDS = 0.1
 
 #: Returns the searchers that may be probed for a lost one, by its service.
@@ -34,6 +35,15 @@
 Probe = Callable[[Collection[SearcherAddress], float], set[SearcherAddress]]
 
 
+@dataclass(frozen=True, slots=True)
+class LostSearcher:
+    """A searcher whose connection was lost, at a monotonic time."""
+
+    service: ServiceName
+    address: SearcherAddress
+    lost_at: float
+
+
 class LossClassifier:
     """Probes a lost searcher and unrelated ones, and rates the evidence."""
 
@@ -65,16 +75,14 @@
 
     def classify(
         self,
-        service: ServiceName,
-        searcher: SearcherAddress,
+        lost: LostSearcher,
         find_excluded: ListExcluded,
         other_lost: Collection[SearcherAddress],
     ) -> Evidence:
         """Classify the loss of a connection to a searcher.
 
         Args:
-            service: The service of the searcher.
-            searcher: The searcher whose connection was lost.
+            lost: The searcher, and when its connection was lost.
             find_excluded: Returns the searchers whose death is no sign of an
                 outage, because a content may have crashed them; called before
                 the probe of the others and after it.
@@ -86,17 +94,18 @@
             searchers died at the same time, or if none of them is reached;
             else DIED.
         """
+        searcher = lost.address
         if self._probe_lost and not _is_found_dead(self._probe_lost, searcher):
             return Evidence.LOST
         ineligible = {searcher, *find_excluded()}
         unrelated = self._choose_unrelated(
-            service, ineligible | set(other_lost)
+            lost.service, ineligible | set(other_lost)
         )
         unrelated.update(
             sorted(set(other_lost) - ineligible)[:MAX_UNRELATED_PROBED]
         )
         dead = self._probe([searcher, *unrelated], PROBE_SECONDS)
-        newly_dead = self._newly_dead({searcher, *unrelated}, dead)
+        newly_dead = self._dead_since_loss(lost, {searcher, *unrelated}, dead)
         unrelated.difference_update(find_excluded())
         is_outage = len(newly_dead & unrelated) >= MIN_UNRELATED_DEAD
         # Without any link to a searcher, this VM can't tell what ended one.
@@ -109,17 +118,17 @@
         return Evidence.DIED if has_died else Evidence.LOST
 
     def find_simultaneous(
-        self, service: ServiceName, excluded: Collection[SearcherAddress]
+        self, lost: LostSearcher, excluded: Collection[SearcherAddress]
     ) -> set[SearcherAddress]:
-        """Probe unrelated searchers, and return those that have just ended.
+        """Probe unrelated searchers, and return those that ended with one.
 
         Args:
-            service: The service of a searcher that was lost a moment ago.
+            lost: The searcher that was lost, a moment ago.
             excluded: Searchers whose death is no sign of an outage.
         """
-        unrelated = self._choose_unrelated(service, set(excluded))
+        unrelated = self._choose_unrelated(lost.service, set(excluded))
         dead = self._probe(sorted(unrelated), PROBE_SECONDS)
-        return self._newly_dead(unrelated, dead)
+        return self._dead_since_loss(lost, unrelated, dead)
 
     def note_alive(self, searcher: SearcherAddress) -> None:
         """Record that a searcher has answered."""
@@ -143,20 +152,22 @@
         """
         return zlib.crc32(f'{self._salt}/{searcher}'.encode())
 
-    def _newly_dead(
+    def _dead_since_loss(
         self,
+        lost: LostSearcher,
         probed: set[SearcherAddress],
         dead: set[SearcherAddress],
     ) -> set[SearcherAddress]:
         now = self._clock.monotonic()
+        # Probes may end long after the loss that they look into.
+        died_after = lost.lost_at - SIMULTANEOUS_SECONDS
         with self._lock:
             for alive in probed - dead:
                 self._dead_since.pop(alive, None)
             return {
                 address
                 for address in probed & dead
-                if now - self._dead_since.setdefault(address, now)
-                < SIMULTANEOUS_SECONDS
+                if self._dead_since.setdefault(address, now) > died_after
             }
 
 
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from basilwall.backend.loss_classifier import LossClassifier
+from basilwall.backend.loss_classifier import LossClassifier, LostSearcher
 from basilwall.forwarding.recent_losses import (
     RUN_JITTER_SECONDS,
     RecentLoss,
@@ -106,6 +106,12 @@
     run_seconds: float
     follows_loss: bool
 
+    @property
+    def lost_searcher(self) -> LostSearcher:
+        """The searcher that was lost."""
+        searcher = self.searcher
+        return LostSearcher(searcher.service, searcher.address, self.lost_at)
+
 
 class ProbingCrashDetector(CrashDetector):
     """Probes the searchers that were lost and shares strikes with all VMs."""
@@ -262,13 +268,12 @@
         )
         if evidence is Evidence.DIED:
             strike = self._strike(loss)
-            if self._review.review(loss.content, strike):
+            if self._review.review(loss.content, strike, loss.lost_searcher):
                 self.on_change()
 
     def _classify(self, loss: _Loss) -> Evidence:
         return self._loss_classifier.classify(
-            loss.searcher.service,
-            loss.searcher.address,
+            loss.lost_searcher,
             partial(self._crashed_searchers, loss.content),
             (),
         )
--- a/basilwall/forwarding/strike_review.py
+++ b/basilwall/forwarding/strike_review.py
@@ -15,6 +15,7 @@
 from basilwall.backend.loss_classifier import (
     MIN_UNRELATED_DEAD,
     LossClassifier,
+    LostSearcher,
 )
 from basilwall.forwarding.recent_losses import RecentLosses
 from basilwall.parts.quarantine import Quarantine
@@ -56,12 +57,15 @@
         self._strikes_by_content: dict[Fingerprint, list[Strike]] = {}
         self._lock = threading.Lock()
 
-    def review(self, content: Fingerprint, strike: Strike) -> bool:
+    def review(
+        self, content: Fingerprint, strike: Strike, lost: LostSearcher
+    ) -> bool:
         """Wait, and withdraw a strike if an outage ended its searcher.
 
         Args:
             content: The content that has just got the strike.
             strike: Its strike, for a searcher that died.
+            lost: That searcher.
 
         Returns:
             True if strikes were withdrawn.
@@ -69,7 +73,7 @@
         if not self._is_first(content, strike):
             return False
         self._pause(OUTAGE_SECONDS)
-        is_outage = self._has_outage(content, strike)
+        is_outage = self._has_outage(content, lost)
         with self._lock:
             strikes = self._strikes_by_content.pop(content)
         if not is_outage:
@@ -95,9 +99,9 @@
             self._strikes_by_content[content] = [strike]
             return True
 
-    def _has_outage(self, content: Fingerprint, strike: Strike) -> bool:
+    def _has_outage(self, content: Fingerprint, lost: LostSearcher) -> bool:
         ended = self._loss_classifier.find_simultaneous(
-            strike.service, self._crashed_by(content)
+            lost, self._crashed_by(content)
         )
         if len(ended) < MIN_UNRELATED_DEAD:
             return False
