Read the store's listing though another writer's key is no valid text

What callers would see: no later change in force on any VM, and after a start none at all, as in the other operator's report of machines that stopped following the list. One key that holds a lone surrogate or bytes that are no text made the whole response of the store unreadable, each time anew.

Found by looking at all that is done with an entry: its value was checked alone, its key was not. Such a response is now read with what is no text replaced by U+FFFD; the key names no searcher then. Also looked at, without a finding: values nested 200,000 deep on the 256 kB stacks of our threads (arm64 only), 4,000-digit numbers, addresses, zones, capacities up to 2^31 (they only divide).

--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -14,7 +14,9 @@
 import base64
 import binascii
 import http.client
+import json
 import logging
+import re
 import socket
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -52,6 +54,11 @@
 #: Header with the epoch. The pages' word for it is "era".
 EPOCH_HEADER = 'Store-Era'
 
+#: Sorts after all ASCII characters, so no id of a searcher is skipped if a page
+#: is to begin after a key that ends so.
+REPLACEMENT_CHARACTER = '\ufffd'
+_LONE_SURROGATES = re.compile('[\ud800-\udfff]')
+
 _log = logging.getLogger(__name__)
 
 
@@ -276,9 +283,24 @@
     try:
         return decoder.decode(response.body)
     except msgspec.MsgspecError as error:
+        _log.warning('odd response of the store', extra={'error': str(error)})
+    try:
+        return decoder.decode(_with_valid_text(response.body))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise PlatformError(str(error)) from error
 
 
+def _with_valid_text(body: bytes) -> bytes:
+    """Return a JSON text in which what is no valid text is replaced.
+
+    Another writer's key may hold bytes or surrogates that are none. It must not
+    hide the other items, and such a key names no searcher.
+    """
+    decoded = json.loads(body.decode('utf-8', 'replace'))
+    text = json.dumps(decoded, ensure_ascii=False)
+    return _LONE_SURROGATES.sub(REPLACEMENT_CHARACTER, text).encode()
+
+
 def _value(item: _StoredItem, epoch: int) -> PublishedValue:
     """Convert a stored item to a published value.
 
--- a/basilwall/platform/store_test.py
+++ b/basilwall/platform/store_test.py
@@ -67,6 +67,20 @@
     assert progress.contact_at() > 0
 
 
+@pytest.mark.parametrize('odd', ['\ud800', 'a\udc80', '\x00', '"', ''])
+def test_a_key_that_is_no_text_does_not_hide_the_other_keys(store, client, odd):
+    for number in range(ITEMS_PER_PAGE - 1):
+        store.put(f'{number}', b'x')
+    store.put(odd, b'2')
+    store.put('a', b'1')
+    listed = client.watch(0)
+    assert bodies(listed)['a'] == b'1'
+    store.put(f'{odd}/x', b'3')
+    store.put('b', b'4')
+    changes = client.watch(listed.revision)
+    assert bodies(changes)['b'] == b'4'
+
+
 def test_a_listing_of_many_pages_is_whole(store, client):
     for number in range(3 * ITEMS_PER_PAGE):
         store.put(f'k{number}', b'x')
--- a/basilwall/standin/metadata_store.py
+++ b/basilwall/standin/metadata_store.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import json
 import threading
 from dataclasses import dataclass
 from typing import Any
@@ -57,6 +58,10 @@
     def extra_headers(self) -> str:
         return f'Store-Era: {self.stand_in.era}\r\n'
 
+    def reply_json(self, status: int, body: Any) -> None:
+        """Send a JSON reply; keys may hold text that is not valid."""
+        self.reply(status, json.dumps(body).encode())
+
     def do_GET(self) -> None:
         store = self.stand_in
         store.calls += 1
