Forget the oldest removed keys, so that there is room for new searchers

What callers would see: after about 4,000 searchers have come and gone, each under an id of its own, no VM uses any that starts later, until the VM is restarted; at last none is left.

Cause, found by looking at all that is done with an entry: the register holds at most 4,096 keys, and a removed key, kept without a value so that an old value can't bring it back, is one of them for ever.

For older ones it knows the highest revision: up to it, an unknown key counts as removed. A VM that is behind that revision is sent which keys exist, as after a compaction.

--- a/basilwall/fleet/change_server.py
+++ b/basilwall/fleet/change_server.py
@@ -129,8 +129,10 @@
         # Read before the values, so that no value up to it is missing.
         revision = self._watch.health.revision
         age_seconds = self._freshness.age_seconds()
-        is_whole = request.after < self._watch.complete_since
         stored = self._register.values_for(self._register.digest())
+        # Removals up to then are not among the values any more.
+        forgotten = self._register.stored.forgotten_revision
+        is_whole = request.after < max(self._watch.complete_since, forgotten)
         live_keys: tuple[str, ...] = ()
         values = [
             published
--- a/basilwall/fleet/relayed_reader_test.py
+++ b/basilwall/fleet/relayed_reader_test.py
@@ -31,6 +31,7 @@
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.parts.revisions import RevisionRegister
+from basilwall.parts.stored_values import MAX_REMOVED_KEYS
 from basilwall.records.catalogue import PublishedValue
 from basilwall.routing.location import VmLocation
 
@@ -302,6 +303,21 @@
         assert vm.live() == {'k0': b'a'}
 
 
+def test_a_vm_behind_forgotten_removals_does_not_keep_removed_keys(monkeypatch):
+    monkeypatch.setattr(HOLD_SECONDS, 0)
+    contents, _, fleet = make_fleet()
+    readers, followers = readers_and_followers(fleet)
+    contents.write('k0', b'a')
+    for vm in (*readers, *followers):
+        assert vm.watch.read()
+    contents.write('k0', b'')
+    for number in range(2 * MAX_REMOVED_KEYS):
+        contents.write(f'removed-{number}', b'')
+    for vm in (*readers, *followers):
+        assert vm.watch.read()
+        assert vm.live() == {}
+
+
 class RelayMachine(RuleBasedStateMachine):
     """Writes, reads, outages and restarts in any order."""
 
--- a/basilwall/parts/revisions.py
+++ b/basilwall/parts/revisions.py
@@ -16,6 +16,7 @@
 
 from basilwall.parts.digests import Digest, KeyDigest, digest_hash
 from basilwall.parts.refusals import NO_REFUSAL, Refusal, Refusals
+from basilwall.parts.stored_values import StoredValues
 from basilwall.records.catalogue import PublishedValue
 
 #: Highest valid revision; a higher one can't come from the platform.
@@ -43,13 +44,13 @@
     """The newest accepted value of each key.
 
     `malformed` counts the values and refusals that were dropped because their
-    key, size or revision is invalid.
+    key, size or revision is invalid. `stored` holds the values.
     """
 
     def __init__(self, apply: Apply = accept_all) -> None:
         self.malformed = 0
         self._apply = apply
-        self._by_key: dict[str, PublishedValue] = {}
+        self.stored = StoredValues()
         self._refusals = Refusals()
         self._hash: int | None = None
         self._listeners: list[Listener] = []
@@ -82,7 +83,7 @@
                 self._refuse(key, revision, reason)
                 return False
             with self._lock:
-                self._by_key[key] = published
+                self.stored.put(published)
                 self._refusals.discard_up_to(key, revision)
                 self._hash = None
             _notify(self._listeners, published)
@@ -112,7 +113,7 @@
         """Return the digests of `keys`, by default of all keys."""
         with self._lock:
             if keys is None:
-                keys = self._by_key.keys() | self._refusals.by_key.keys()
+                keys = self.stored.by_key.keys() | self._refusals.by_key.keys()
             return {key: self._digest_of(key) for key in keys}
 
     def hash(self) -> int:
@@ -121,7 +122,7 @@
         if cached is not None:
             return cached
         with self._lock:
-            keys = self._by_key.keys() | self._refusals.by_key.keys()
+            keys = self.stored.by_key.keys() | self._refusals.by_key.keys()
             fresh_hash = digest_hash(
                 {key: self._digest_of(key) for key in keys}
             )
@@ -151,11 +152,12 @@
     def values_for(self, keys: Iterable[str]) -> list[PublishedValue]:
         """Return the stored values of `keys`; unknown keys are skipped."""
         with self._lock:
-            return [self._by_key[key] for key in keys if key in self._by_key]
+            by_key = self.stored.by_key
+            return [by_key[key] for key in keys if key in by_key]
 
     def _is_newer(self, key: str, revision: int) -> bool:
-        stored = self._by_key.get(key)
-        if stored is not None and stored.revision >= revision:
+        known = self.stored.known_revision(key)
+        if known and revision <= known:
             return False
         if self._refusals.was_refused_locally(key, revision):
             return False
@@ -166,7 +168,7 @@
         return False
 
     def _is_acceptable(self, key: str, revision: int) -> bool:
-        stored, refused = self._by_key, self._refusals.by_key
+        stored, refused = self.stored.by_key, self._refusals.by_key
         is_known = key in stored or key in refused
         has_room = is_known or len(stored) + len(refused) < MAX_KEYS
         has_valid_key = 0 < len(key) <= MAX_KEY_CHARACTERS
@@ -188,7 +190,7 @@
             self._hash = None
 
     def _digest_of(self, key: str) -> KeyDigest:
-        stored = self._by_key.get(key)
+        stored = self.stored.by_key.get(key)
         refusal = self._refusals.by_key.get(key, NO_REFUSAL)
         return KeyDigest(stored.revision if stored else 0, refusal.revision)
 
