Open the connection of a hedge before the hedge is due

Nearly each query of 36 shards meets a searcher that pauses; it is hedged after 38 to 49 ms in another region, over a new connection: two round trips of 40 ms, though the first one could have passed before.

Now a quarter of the hedge delay after an attempt was sent, the connection to the searcher that it would be hedged at is opened, within this VM's share, unless one is idle. It is kept, so later hedges find it. One that failed meanwhile is not used, and the time that it took says nothing of round trips.

Tests: the connection is prepared before the hedge, within the share, and not used if it failed; there was no such thing before.

--- a/basilwall/forwarding/connection.py
+++ b/basilwall/forwarding/connection.py
@@ -4,6 +4,7 @@
 """
 
 import errno
+import select
 import socket
 from contextlib import suppress
 
@@ -29,6 +30,7 @@
         self.connect_started_at = clock.monotonic()
         self.usable_until = self.connect_started_at + DEFAULT_IDLE_SECONDS
         self.is_connected = False
+        self.is_prepared = False
         self.connect_seconds: float | None = None
         endpoint = parse_address(searcher.address)
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -43,7 +45,12 @@
         self.failure = 0 if failure == errno.EINPROGRESS else failure
 
     def has_input(self) -> bool:
-        """Return whether data or end of stream followed the last reply."""
+        """Return whether data or end of stream followed the last reply.
+
+        One that is still connecting has input once that has failed.
+        """
+        if not self.is_connected:
+            return self._has_failed_to_connect()
         try:
             self.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -78,9 +85,18 @@
         if failure:
             raise OSError(failure, 'connect failed')
         self.is_connected = True
-        self.connect_seconds = self._clock.monotonic() - self.connect_started_at
+        if not self.is_prepared:
+            self.connect_seconds = (
+                self._clock.monotonic() - self.connect_started_at
+            )
 
     def close(self) -> None:
         """Close the socket; the searcher then aborts the request on it."""
         with suppress(OSError):
             self.socket.close()
+
+    def _has_failed_to_connect(self) -> bool:
+        poll = select.poll()
+        # Errors and hang-ups are reported without being asked for.
+        poll.register(self.socket, 0)
+        return bool(poll.poll(0))
--- a/basilwall/forwarding/connection_pools.py
+++ b/basilwall/forwarding/connection_pools.py
@@ -5,6 +5,7 @@
 surplus ones reach their idle timeout and are closed.
 """
 
+import logging
 import threading
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -20,17 +21,22 @@
 #: Share of a connection cap that all VMs together aim to use.
 CONNECTION_CAP_USE_RATIO = 0.85
 
+_log = logging.getLogger(__name__)
+
 
 class PooledConnection(ABC):
     """A connection that carries one attempt after another.
 
     `usable_until` is in monotonic seconds; `connect_seconds` is how long it
-    took to connect, None once that time has been recorded.
+    took to connect, None once that time has been recorded. `is_prepared` is
+    True if connecting began before an attempt needed it, so that nobody looks
+    when it ends.
     """
 
     searcher: Searcher
     usable_until: float
     connect_seconds: float | None
+    is_prepared: bool
 
     @abstractmethod
     def has_input(self) -> bool:
@@ -94,6 +100,35 @@
                 return idle_connection
             self.discard(idle_connection)
 
+    def prepare(self, searcher: Searcher) -> ConnectionT | None:
+        """Begin to connect to a searcher that may get an attempt soon.
+
+        Args:
+            searcher: The searcher.
+
+        Returns:
+            The connection; None if there is an idle one, or no room for one.
+        """
+        pool = self._pool(searcher)
+        with self._lock:
+            if pool.idle or pool.open_count >= self._share(searcher):
+                return None
+            try:
+                opened = self._connect(searcher)
+            except OSError as error:
+                _log.info(
+                    'connection not prepared',
+                    extra={
+                        'searcher': searcher.searcher_id,
+                        'error': str(error),
+                    },
+                )
+                return None
+            opened.is_prepared = True
+            pool.open_count += 1
+            pool.idle.append(opened)
+        return opened
+
     def check_in(self, connection: ConnectionT) -> None:
         """Return a connection to its pool after its reply was read."""
         self._record_connect_time(connection)
--- a/basilwall/forwarding/connection_pools_test.py
+++ b/basilwall/forwarding/connection_pools_test.py
@@ -22,10 +22,11 @@
         self.searcher = searcher
         self.usable_until = float('inf')
         self.connect_seconds = None
+        self.is_prepared = False
         self.is_closed = False
 
     def has_input(self):
-        return False
+        return self.is_closed
 
     def close(self):
         self.is_closed = True
@@ -103,3 +104,25 @@
     pools.check_in(previous)
     assert previous.is_closed
     assert not pools.may_open_connection(searcher(2))
+
+
+def test_a_prepared_connection_serves_the_next_attempt():
+    pools, _, _ = make()
+    prepared = pools.prepare(searcher())
+    assert prepared.is_prepared
+    assert pools.prepare(searcher()) is None
+    assert pools.checkout(searcher()) is prepared
+
+
+def test_no_connection_is_prepared_beyond_the_share_of_this_vm():
+    pools, _, _ = make()
+    for _ in range(SHARE):
+        pools.checkout(searcher())
+    assert pools.prepare(searcher()) is None
+
+
+def test_a_prepared_connection_that_failed_is_not_used():
+    pools, _, _ = make()
+    prepared = pools.prepare(searcher())
+    prepared.is_closed = True
+    assert pools.checkout(searcher()) is not prepared
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -15,6 +15,10 @@
     NO_SEARCHER,
     ExtraAttemptCanary,
 )
+from basilwall.forwarding.hedge_preparation import (
+    PREPARATION_RATIO,
+    prepare_hedges,
+)
 from basilwall.forwarding.reporting import Step, Trail
 from basilwall.forwarding.retry_policy import RETRY_RESERVE_RATIO
 from basilwall.forwarding.retry_rules import (
@@ -191,7 +195,8 @@
             for candidate in self.subrequests
             if candidate.is_open
         ]
-        wake_at = min(until, self._canary.late_at, *hedges)
+        preparations = [one.prepare_at for one in self.subrequests]
+        wake_at = min(until, self._canary.late_at, *hedges, *preparations)
         seconds = wake_at - self._clock.monotonic()
         has_results = False
         for attempt, outcome in self._waiter.wait(seconds):
@@ -200,6 +205,7 @@
         # Replies may have arrived that were not read yet; these attempts must
         # not be hedged.
         if not has_results:
+            prepare_hedges(self.subrequests, self._context, self._may_send)
             self._hedge_late(self._clock.monotonic())
 
     def _send_next(self, subrequest: SubRequest) -> bool:
@@ -226,7 +232,9 @@
         subrequest.hedge_at = self._deadline
         if self._may_hedge:
             late_after = _late_after(self._hedge_delay, stats, attempt)
-            subrequest.hedge_at = self._clock.monotonic() + late_after
+            now = self._clock.monotonic()
+            subrequest.hedge_at = now + late_after
+            subrequest.prepare_at = now + late_after * PREPARATION_RATIO
         self._in_flight[attempt] = subrequest, stats
         outcome = self._waiter.add(attempt)
         if outcome is not None:
--- a/basilwall/forwarding/execution_test.py
+++ b/basilwall/forwarding/execution_test.py
@@ -34,6 +34,9 @@
     def pick_each(self, services, _):
         return [self.pick_and_count(service, ()) for service in services]
 
+    def pick(self, service, tried):
+        return self.pick_and_count(service, tried)
+
     def pick_and_count(self, _, tried):
         untried = (
             stats
@@ -85,14 +88,31 @@
     def make_waiter(self, caller):
         raise NotImplementedError
 
+    def __init__(self, attempt_class=LostAttempt):
+        self.attempt_class = attempt_class
+
     def prepare_attempt(self, call, searcher, deadline):
-        return LostAttempt(searcher)
+        return self.attempt_class(searcher)
+
+    def prepare_connection(self, searcher):
+        """Do nothing: there is no connection."""
 
     def release_connection(self, attempt):
         """Do nothing: there is no connection."""
 
     def supersede(self, attempt, attempt_number):
-        raise NotImplementedError
+        """Do nothing: its result is not needed."""
+
+
+class SilentAttempt(LostAttempt):
+    """An attempt without an end."""
+
+
+class SilentWaiter(ImmediateWaiter):
+    """Waits for attempts without an end."""
+
+    def add(self, _):
+        """Return None: no attempt ends."""
 
 
 class DetectorStub:
@@ -113,14 +133,14 @@
         """Do nothing."""
 
 
-def make_execution(clock, subrequests, detector):
+def make_execution(clock, subrequests, detector, transport=None, waiter=None):
     now = clock.monotonic()
     call = Call(b'GET', b'/a/', 'h', b'1', b'', b'', now, now + 2)
-    waiter = ImmediateWaiter(clock)
+    waiter = waiter or ImmediateWaiter(clock)
     context = ForwardingContext(
         None,
         SelectorStub(clock),
-        TransportStub(),
+        transport or TransportStub(),
         RetryPolicy(lambda: BOUNDS, lambda: 8, clock),
         detector,
         clock,
@@ -155,3 +175,19 @@
     expected = 1 if is_suspected else 5
     assert sent == expected
     assert all(subrequest.has_ended for subrequest in subrequests)
+
+
+def test_the_connection_of_a_hedge_is_prepared_before_it_is_due():
+    clock, transport = ManualClock(), TransportStub(SilentAttempt)
+    subrequest = SubRequest('s', 0)
+    sent_when_prepared = []
+
+    def prepare(searcher):
+        sent_when_prepared.append((searcher.searcher_id, *subrequest.sent_to))
+
+    transport.prepare_connection = prepare
+    make_execution(
+        clock, [subrequest], DetectorStub(), transport, SilentWaiter(clock)
+    )
+    assert sent_when_prepared == [('s-2', 's-1')]
+    assert subrequest.sent_to == {'s-1', 's-2'}
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -59,6 +59,10 @@
             self._memory,
         )
 
+    def prepare_connection(self, searcher: Searcher) -> None:
+        """Begin to connect to a searcher that may get an attempt soon."""
+        self._pools.prepare(searcher)
+
     def release_connection(self, attempt: SocketAttempt) -> None:
         """Return the connection of an ended attempt to its pool or close it."""
         if attempt.connection.connect_seconds is not None:
--- a/basilwall/forwarding/subrequest.py
+++ b/basilwall/forwarding/subrequest.py
@@ -1,5 +1,6 @@
 """The part of a request that goes to one service, and its progress."""
 
+import math
 from dataclasses import dataclass, field
 
 from basilwall.forwarding.transport import Attempt
@@ -11,6 +12,8 @@
 class SubRequest:
     """The attempts at one service; times are in monotonic seconds.
 
+    A late attempt is hedged at `hedge_at`; the connection for that is prepared
+    at `prepare_at`.
     `numbers_by_attempt` holds the attempts in flight, oldest first, with their
     numbers in the statistics of their searchers. `sent_to` are the searchers
     that the request reached or may have reached, `unreachable` those to which
@@ -19,6 +22,7 @@
 
     service: ServiceName
     hedge_at: float
+    prepare_at: float = math.inf
     numbers_by_attempt: dict[Attempt, int] = field(default_factory=dict)
     sent_to: set[SearcherId] = field(default_factory=set)
     unreachable: set[SearcherId] = field(default_factory=set)
--- a/basilwall/forwarding/transport.py
+++ b/basilwall/forwarding/transport.py
@@ -91,6 +91,13 @@
             The attempt; it starts when it is added to a waiter.
         """
 
+    @abstractmethod
+    def prepare_connection(self, searcher: Searcher) -> None:
+        """Begin to connect to a searcher that may get an attempt soon.
+
+        Nothing is done if an idle connection is there.
+        """
+
     @abstractmethod
     def release_connection(self, attempt: AttemptT) -> None:
         """Return the connection of an ended attempt to its pool or close it."""
--- a/basilwall/simulation/transport.py
+++ b/basilwall/simulation/transport.py
@@ -48,6 +48,11 @@
         self.usable_until = time.monotonic() + IDLE_TIMEOUT_SECONDS
         self.connect_seconds = None
         self.is_connected = False
+        self.is_prepared = False
+
+    def finish_connecting(self) -> None:
+        """Record that the connection is established."""
+        self.is_connected = True
 
     def has_input(self) -> bool:
         """Return False: model searchers send nothing but replies."""
@@ -250,6 +255,15 @@
             self._connect_seconds,
         )
 
+    def prepare_connection(self, searcher: Searcher) -> None:
+        """Begin to connect to a searcher that may get an attempt soon."""
+        connection = self._pools.prepare(searcher)
+        if connection is not None:
+            round_trip = self._selector.stats_of(searcher).round_trip
+            self._time.call_later(
+                round_trip + self._connect_seconds, connection.finish_connecting
+            )
+
     def release_connection(self, attempt: ModelAttempt) -> None:
         """Return the connection of an ended attempt to its pool or close it."""
         if attempt.can_keep:
