Tell of a searcher lost in a trial at once, and let its content wait

Cause, from their logs: a strike was told only once probes had shown that the searcher had ended, 50 ms later, and two lost at once counted as one moment, so the content stayed a mere suspect: each VM tried it at one more searcher, each request at another one (least_struck chose by the request's id).

Now a loss before any answer is a pending strike, told at once; while one is pending all VMs refuse the content at once, 503 with 1 s (verdict undecided). If both searchers that a query was tried at have ended and no unrelated ones, the content is quarantined. A suspected content goes to the same shard on all VMs.

Innocent contents: only those wait whose own first attempts lost a searcher and that nobody has answered.

--- a/basilwall/forwarding/context.py
+++ b/basilwall/forwarding/context.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from basilwall.forwarding.crash_detection import CrashDetector
+from basilwall.forwarding.crash_detector import CrashDetector
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.retry_rules import Blame, describe_result, rule_for
 from basilwall.forwarding.return_time import ReturnTimes
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -14,13 +14,13 @@
 import logging
 import threading
 import zlib
-from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier, LostSearcher
+from basilwall.forwarding.crash_detector import CrashDetector
 from basilwall.forwarding.recent_losses import (
     RUN_JITTER_SECONDS,
     RecentLoss,
@@ -53,50 +53,19 @@
 
 #: Losses classified at a time; more at once can not be due to one content.
 MAX_CLASSIFICATIONS = 8
+#: Time after which it is known why a searcher was lost.
+UNDECIDED_SECONDS = 1.0
 
 _log = logging.getLogger(__name__)
 
 
-class CrashDetector(ABC):
-    """Decides whether a request's content crashes searchers."""
-
-    @abstractmethod
-    def is_quarantined(self, call: Call) -> bool:
-        """Return whether a request's content is known to crash searchers."""
-
-    @abstractmethod
-    def is_suspected(self, call: Call) -> bool:
-        """Return whether searchers were lost under a request's content."""
-
-    @abstractmethod
-    def least_struck(self, call: Call, services: Sequence[ServiceName]) -> int:
-        """Return which service lost the fewest searchers under a content.
-
-        Args:
-            call: A request with the content.
-            services: The services to choose from.
-
-        Returns:
-            An index of `services`. Requests choose differently among equals.
-        """
-
-    @abstractmethod
-    def quarantine_seconds_left(self, call: Call) -> float:
-        """Return how long the content stays in quarantine, in seconds."""
-
-    @abstractmethod
-    def note_outcome(
-        self, call: Call, attempt: Attempt, outcome: AttemptResult
-    ) -> None:
-        """Record the outcome of an attempt that was not abandoned."""
-
-
 @dataclass(frozen=True, slots=True)
 class _Loss:
     """A searcher that was lost under a request, at a monotonic time.
 
     It may have run the request for `run_seconds`; less than 0 if it ended
-    before the request can have reached it. `follows_loss` is as in `Strike`.
+    before the request can have reached it. `is_trial` says whether the request
+    was at few searchers only; `follows_loss` is as in `Strike`.
     """
 
     call: Call
@@ -104,6 +73,7 @@
     content: Fingerprint
     lost_at: float
     run_seconds: float
+    is_trial: bool
     follows_loss: bool
 
     @property
@@ -178,20 +148,34 @@
             for index, service in enumerate(services)
             if struck[service] == fewest
         ]
-        return equals[zlib.crc32(call.request_id) % len(equals)]
+        return equals[zlib.crc32(fingerprint_of(call).encode()) % len(equals)]
 
-    def quarantine_seconds_left(self, call: Call) -> float:
-        """Return how long the content stays in quarantine, in seconds."""
-        return self._quarantine.seconds_left(fingerprint_of(call))
+    def seconds_refused(self, call: Call) -> float:
+        """Return for how long a request's content is refused, in seconds."""
+        if not len(self._quarantine):
+            return 0
+        content = fingerprint_of(call)
+        if self._quarantine.suspicion_of(content) is Suspicion.QUARANTINED:
+            return self._quarantine.seconds_left(content)
+        entry = self._quarantine.entry_of(content)
+        if entry is None or not entry.is_undecided(self._clock.monotonic()):
+            return 0
+        return UNDECIDED_SECONDS
 
     def note_outcome(
-        self, call: Call, attempt: Attempt, outcome: AttemptResult
+        self,
+        call: Call,
+        attempt: Attempt,
+        outcome: AttemptResult,
+        *,
+        is_trial: bool = False,
     ) -> None:
         """Record the outcome of an attempt that was not abandoned."""
         if isinstance(outcome, Reply) and outcome.is_success:
             self._note_answer(call, attempt.searcher)
         elif isinstance(outcome, Lost):
-            self._note_loss(self._make_loss(call, attempt), outcome.reason)
+            loss = self._make_loss(call, attempt, is_trial=is_trial)
+            self._note_loss(loss, outcome.reason)
 
     def _suspicion_of(self, call: Call) -> Suspicion:
         if not len(self._quarantine):
@@ -214,18 +198,23 @@
                 },
             )
 
-    def _make_loss(self, call: Call, attempt: Attempt) -> _Loss:
+    def _make_loss(
+        self, call: Call, attempt: Attempt, *, is_trial: bool
+    ) -> _Loss:
         content, now = fingerprint_of(call), self._clock.monotonic()
         searcher, sent_at = attempt.searcher, attempt.sent_at
         round_trip = self._round_trip(searcher.zone)
         run_seconds = now - sent_at - round_trip
+        lost_before = self._recent_losses.searchers_of(content)
         return _Loss(
             call,
             searcher,
             content,
             now,
             run_seconds,
-            self._recent_losses.is_repeated(content, sent_at, run_seconds)
+            is_trial,
+            (is_trial and bool(lost_before - {searcher.address}))
+            or self._recent_losses.is_repeated(content, sent_at, run_seconds)
             or _is_repeated_later(
                 self._quarantine.entry_of(content), sent_at, run_seconds
             ),
@@ -246,13 +235,16 @@
         if not self._classification_slots.acquire(blocking=False):
             _log_unclassified(loss, 'too many at a time')
             return
+        incident = IncidentId(next(self._incident_ids))
+        if loss.is_trial:
+            self._strike(loss, incident, Evidence.PENDING)
         try:
-            self._tasks.start(partial(self._run_classification, loss))
+            self._tasks.start(partial(self._run_classification, loss, incident))
         except RuntimeError as error:
             self._classification_slots.release()
             _log_unclassified(loss, str(error))
 
-    def _run_classification(self, loss: _Loss) -> None:
+    def _run_classification(self, loss: _Loss, incident: IncidentId) -> None:
         try:
             evidence = self._classify(loss)
             if evidence is Evidence.SPARED:
@@ -267,9 +259,11 @@
             },
         )
         if evidence is Evidence.DIED:
-            strike = self._strike(loss)
+            strike = self._strike(loss, incident, evidence)
             if self._review.review(loss.content, strike, loss.lost_searcher):
                 self.on_change()
+        elif loss.is_trial:
+            self._strike(loss, incident, Evidence.CLEARED)
 
     def _classify(self, loss: _Loss) -> Evidence:
         return self._loss_classifier.classify(
@@ -286,12 +280,14 @@
             | self._recent_losses.searchers_of(content)
         )
 
-    def _strike(self, loss: _Loss) -> Strike:
+    def _strike(
+        self, loss: _Loss, incident: IncidentId, evidence: Evidence
+    ) -> Strike:
         searcher = loss.searcher
         strike = Strike(
-            IncidentId(next(self._incident_ids)),
+            incident,
             searcher.address,
-            Evidence.DIED,
+            evidence,
             self._clock.monotonic() - loss.lost_at,
             ProcessId(f'{searcher.searcher_id}/{searcher.started_ms}'),
             searcher.service,
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -290,7 +290,9 @@
         self._release(attempt, has_ended=True)
         if not self._context.are_links_lost():
             detector = self._context.crash_detector
-            detector.note_outcome(self._call, attempt, outcome)
+            detector.note_outcome(
+                self._call, attempt, outcome, is_trial=self._canary.is_trial
+            )
         if subrequest.has_ended:
             return
         rule = rule_for(self._route.retry_safety, outcome)
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -72,8 +72,8 @@
         self._state = _State.UNKNOWN if is_scattered else _State.HARMLESS
         self._canary: SubRequest | None = None
         self._held: list[SubRequest] = []
-        #: True while only a few attempts are in flight: the request is given
-        #: up if all of them are lost.
+        #: True while the request is at few searchers only, and none of them has
+        #: answered: it is given up if all of them are lost.
         self.is_trial = False
 
     @property
@@ -99,6 +99,7 @@
                 retried if its connection is lost.
         """
         self._state, self._canary = _State.TRYING, subrequest
+        self.is_trial = True
 
     def note_hedge(self, subrequest: SubRequest) -> None:
         """Make the first hedge the canary, and hold back further ones."""
@@ -159,6 +160,7 @@
         self.late_at = self._clock.monotonic() + MAX_HOLD_SECONDS
 
     def _pass(self) -> None:
+        self.is_trial = False
         self._state, self.late_at = _State.HARMLESS, math.inf
         for subrequest in self._take_held():
             self._retry_or_end(subrequest)
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -276,12 +276,15 @@
         return [SubRequest(self._round_robin.next_service(route), 0)]
 
     def _refuse_quarantined(self, call: Call) -> Answer | None:
-        """Refuse a request whose content is known to crash searchers."""
+        """Refuse a request whose content crashes searchers, or may do so."""
         crash_detector = self._context.crash_detector
-        if not crash_detector.is_quarantined(call):
+        seconds = crash_detector.seconds_refused(call)
+        if not seconds:
             return None
+        is_quarantined = crash_detector.is_quarantined(call)
         return self._answers.refusal(
-            Verdict.QUARANTINED, crash_detector.quarantine_seconds_left(call)
+            Verdict.QUARANTINED if is_quarantined else Verdict.UNDECIDED,
+            seconds,
         )
 
 
--- a/basilwall/forwarding/superseded.py
+++ b/basilwall/forwarding/superseded.py
@@ -9,7 +9,7 @@
 import threading
 from collections.abc import Callable
 
-from basilwall.forwarding.crash_detection import CrashDetector
+from basilwall.forwarding.crash_detector import CrashDetector
 from basilwall.forwarding.socket_attempt import SocketAttempt
 from basilwall.forwarding.socket_waiter import SocketWaiter
 from basilwall.forwarding.transport import Attempt
--- a/basilwall/parts/content_strikes.py
+++ b/basilwall/parts/content_strikes.py
@@ -19,6 +19,8 @@
 MAX_STRIKES = 32
 #: Strikes on one process within this time belong to the same crash.
 SAME_CRASH_SECONDS = 3.0
+#: Time after which no verdict on a pending strike is expected any more.
+VERDICT_TIMEOUT_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,11 @@
         """True unless an answer has cleared the strike."""
         return self.strike.evidence is not Evidence.CLEARED
 
+    def is_undecided(self, now: float) -> bool:
+        """Return whether a verdict on the loss is still expected."""
+        is_pending = self.strike.evidence is Evidence.PENDING
+        return is_pending and now - self.lost_at < VERDICT_TIMEOUT_SECONDS
+
     def is_same_crash(self, other: 'DatedStrike') -> bool:
         """Return whether both strikes report the same crash."""
         own, others = self.strike, other.strike
@@ -97,6 +104,10 @@
                 crashes.append(dated)
         return sorted(crashes, key=lambda crash: crash.lost_at)
 
+    def is_undecided(self, now: float) -> bool:
+        """Return whether a verdict on any strike is still expected."""
+        return any(dated.is_undecided(now) for dated in self.all_strikes())
+
     def struck_searchers(self) -> set[SearcherAddress]:
         """Return the searchers with an uncleared strike."""
         return {
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -31,8 +31,6 @@
 #: Time after its last strike until an entry expires.
 ENTRY_TTL_SECONDS = 300.0
 MAX_ENTRIES = 10_000
-#: Time after which no verdict on a pending strike is expected any more.
-VERDICT_TIMEOUT_SECONDS = 2.0
 #: Total weight that quarantines a content: two searchers that died, or four
 #: that only lost the connection.
 QUARANTINE_WEIGHT = 4
@@ -314,7 +312,6 @@
 
 def _weight_if_died(now: float, crash: DatedStrike) -> int:
     """Return the weight of a crash if a pending strike proves right."""
-    is_pending = crash.strike.evidence is Evidence.PENDING
-    if is_pending and now - crash.lost_at < VERDICT_TIMEOUT_SECONDS:
+    if crash.is_undecided(now):
         return _WEIGHT_BY_EVIDENCE[Evidence.DIED]
     return _weight(crash)
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -132,7 +132,8 @@
     and NO_TABLE a request without a matching route or before the first table.
     RELAYED is the answer of another VM, NOT_TAKEN a request that another VM
     relayed to this one, which can't serve it. STOPPING is a request that came
-    too late in a planned stop.
+    too late in a planned stop. UNDECIDED is a request whose content has just
+    lost a searcher.
     """
 
     ANSWERED = 'answered'
@@ -143,6 +144,7 @@
     NO_SEARCHER = 'no_searcher'
     NOT_RUN = 'not_run'
     QUARANTINED = 'quarantined'
+    UNDECIDED = 'undecided'
     TOO_FEW_SHARDS = 'too_few_shards'
     LOST = 'lost'
     TIMEOUT = 'timeout'
--- a/basilwall/records/strike.py
+++ b/basilwall/records/strike.py
@@ -41,7 +41,8 @@
     recorded or sent. `process` tells successive processes at one address
     apart; it and `service` are empty if they are not known. `follows_loss` is
     True if the content was sent to the searcher after another one had been
-    lost under it, and ran there for about as long as before.
+    lost under it, and ran there for about as long as before; or if both
+    searchers were lost that it was tried at, before any answered it.
     """
 
     incident: IncidentId
--- a/basilwall/simulation/no_crashes.py
+++ b/basilwall/simulation/no_crashes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from basilwall.forwarding.crash_detection import CrashDetector
+from basilwall.forwarding.crash_detector import CrashDetector
 from basilwall.forwarding.transport import Attempt
 from basilwall.records.forwarding import AttemptResult, Call
 from basilwall.records.ids import ServiceName
@@ -23,11 +23,16 @@
         """Return the first."""
         return 0
 
-    def quarantine_seconds_left(self, call: Call) -> float:
+    def seconds_refused(self, call: Call) -> float:
         """Return 0."""
         return 0
 
     def note_outcome(
-        self, call: Call, attempt: Attempt, outcome: AttemptResult
+        self,
+        call: Call,
+        attempt: Attempt,
+        outcome: AttemptResult,
+        *,
+        is_trial: bool = False,
     ) -> None:
         """Ignore the outcome of an attempt."""
