Let VMs begin a content at the same shards, whatever they have in flight

Cause: VMs order shards by expected time in steps of 10 ms, which falls on both sides of the usual 8 to 14 ms and counts what each has in flight. So repeats at two VMs, or two at one VM, began at different searchers.

Now all searchers within twice the time of the fastest are equal, without what is in flight. The test with requests in flight failed before.

--- a/basilwall/forwarding/content_trial.py
+++ b/basilwall/forwarding/content_trial.py
@@ -22,8 +22,9 @@
 #: Longest wait for the first answer to such a content, more than twice as long
 #: as a crashing one takes.
 MAX_TRIAL_SECONDS = 0.3
-#: Searchers whose expected times differ by less are equally good to begin with.
-SAME_SPEED_SECONDS = 0.01
+#: Searchers that take up to this many times as long as the fastest one are
+#: equally good to begin with.
+SAME_SPEED_RATIO = 2
 
 FirstAttempts = list[tuple[SubRequest, SearcherStats]]
 
@@ -101,16 +102,23 @@
     def _in_order(self, first_attempts: FirstAttempts) -> FirstAttempts:
         """Sort first attempts so that VMs near each other begin alike.
 
-        Fast searchers come first, those that owe a reply for long last.
+        Fast searchers come first, those that owe a reply for long last. What
+        this VM has in flight there doesn't count, as it differs between VMs.
         """
         content = fingerprint_of(self._call)
         now = self._context.clock.monotonic()
+        fastest = min(_seconds(stats, now) for _, stats in first_attempts)
         return sorted(
             first_attempts,
             key=lambda attempt: (
                 attempt[1].is_stuck(now),
                 attempt[1].is_backing_off,
-                int(attempt[1].expected_seconds(now) / SAME_SPEED_SECONDS),
+                _seconds(attempt[1], now) > fastest * SAME_SPEED_RATIO,
                 zlib.crc32(f'{content}{attempt[0].service}'.encode()),
             ),
         )
+
+
+def _seconds(stats: SearcherStats, now: float) -> float:
+    """Return how long an attempt takes if no other one is in flight."""
+    return stats.round_trip + stats.expected_work(now)
--- a/basilwall/forwarding/content_trial_test.py
+++ b/basilwall/forwarding/content_trial_test.py
@@ -40,6 +40,16 @@
         self.clock = ManualClock()
         self.outcomes = list(outcomes)
         self.sent, self.retried, self.in_flight = [], [], []
+        self.stats = [
+            SearcherStats(
+                Searcher(
+                    f'i-{one}', f's{one}', f'10.0.0.{one}:1', 'z', 2, 0, 0, 0
+                ),
+                self.clock,
+                0,
+            )
+            for one in range(SHARDS)
+        ]
         self.canary = ExtraAttemptCanary(
             self._retry,
             self.in_flight,
@@ -56,13 +66,9 @@
         trial = ContentTrial(
             call, self.context, self.canary, self._send, self._wait
         )
-        searchers = [
-            Searcher(f'i-{one}', f's{one}', f'10.0.0.{one}:1', 'z', 2, 0, 0, 0)
-            for one in range(SHARDS)
-        ]
         attempts = [
-            (SubRequest(one.service, 0), SearcherStats(one, self.clock, 0))
-            for one in searchers
+            (SubRequest(stats.searcher.service, 0), stats)
+            for stats in self.stats
         ]
         self.subrequests = [subrequest for subrequest, _ in attempts]
         return trial.run(attempts, now + 2)
@@ -130,10 +136,22 @@
     assert len(trial.run()) == SHARDS - UNKNOWN_AT_ONCE - 1
 
 
-def test_vms_begin_at_the_same_shards():
+def test_vms_begin_at_the_same_shards_whatever_they_have_in_flight():
     first, second = Trial(SILENT), Trial(SILENT)
     first.run()
+    for stats in second.stats[: SHARDS // 2]:
+        stats.record_sent()
     second.run()
     assert [one.service for one in first.sent] == [
         one.service for one in second.sent
     ]
+
+
+def test_a_content_begins_at_no_slow_searcher():
+    trial = Trial(SILENT)
+    slow = trial.stats[2:]
+    for stats in slow:
+        stats.round_trip = 1
+    trial.run()
+    services = {one.service for one in trial.sent}
+    assert not services & {stats.searcher.service for stats in slow}
--- a/basilwall/routing/searcher_stats.py
+++ b/basilwall/routing/searcher_stats.py
@@ -115,7 +115,7 @@
         """Return how long an attempt that is sent now is expected to take."""
         in_flight = len(self._sent_at_by_number)
         queue_factor = 1 + in_flight / self.searcher.slots
-        seconds = self.round_trip + self._expected_work(now) * queue_factor
+        seconds = self.round_trip + self.expected_work(now) * queue_factor
         seconds += self._failure_rate.current() * FAILURE_COST
         if self.is_stuck(now):
             seconds += STUCK_PENALTY_SECONDS
@@ -123,6 +123,17 @@
             seconds += BACKOFF_PENALTY_SECONDS
         return seconds
 
+    def expected_work(self, now: float) -> float:
+        """Return how long it works on an attempt that is sent now."""
+        decay = math.pow(2, (self._sampled_at - now) / WORK_HALF_LIFE_SECONDS)
+        work = (
+            INITIAL_WORK_SECONDS
+            + (self._recent_work - INITIAL_WORK_SECONDS) * decay
+        )
+        if self._recent_work < INITIAL_WORK_SECONDS:
+            work = self._recent_work
+        return work * COLD_FACTOR if now < self._cold_until else work
+
     def is_stuck(self, now: float) -> bool:
         """Return whether a reply is overdue, or was and none has come since."""
         if not self._sent_at_by_number and self._stuck_since == -math.inf:
@@ -163,7 +174,7 @@
             self._backoff_until = -math.inf
             self._down_until = -math.inf
             self._failure_rate.record(0)
-            self._recent_work = _smooth(self._expected_work(now), work)
+            self._recent_work = _smooth(self.expected_work(now), work)
             self._typical_work = _smooth(self._typical_work, work)
             self._sampled_at = now
 
@@ -199,16 +210,6 @@
             self._failure_rate.record(1)
             self._stuck_since = self._clock.monotonic()
 
-    def _expected_work(self, now: float) -> float:
-        decay = math.pow(2, (self._sampled_at - now) / WORK_HALF_LIFE_SECONDS)
-        work = (
-            INITIAL_WORK_SECONDS
-            + (self._recent_work - INITIAL_WORK_SECONDS) * decay
-        )
-        if self._recent_work < INITIAL_WORK_SECONDS:
-            work = self._recent_work
-        return work * COLD_FACTOR if now < self._cold_until else work
-
 
 def _smooth(previous: float, sample: float) -> float:
     capped = min(sample, previous * MAX_SAMPLE_GROWTH)
