--- a/basilwall/forwarding/execution_test.py
+++ b/basilwall/forwarding/execution_test.py
@@ -116,10 +116,13 @@
 
 
 class DetectorStub:
-    """Ignores outcomes; `suspects` every content if set."""
+    """Records whether outcomes are of trials; `suspects` contents if set."""
 
     suspects = False
 
+    def __init__(self):
+        self.trials = []
+
     def is_quarantined(self, call):
         return False
 
@@ -130,7 +133,7 @@
         return 0
 
     def note_outcome(self, *_, is_trial):
-        """Do nothing."""
+        self.trials.append(is_trial)
 
 
 def make_execution(clock, subrequests, detector, transport=None, waiter=None):
@@ -155,8 +158,10 @@
 
 def test_a_request_whose_attempts_are_lost_at_once_does_not_wait():
     subrequest = SubRequest('s', 0)
-    waiter = make_execution(ManualClock(), [subrequest], DetectorStub())
+    detector = DetectorStub()
+    waiter = make_execution(ManualClock(), [subrequest], detector)
     assert len(subrequest.sent_to) == 2
+    assert not any(detector.trials)
     assert subrequest.has_ended
     assert not waiter.waits
 
@@ -173,6 +178,8 @@
     sent = sum(len(subrequest.sent_to) for subrequest in subrequests)
     expected = 1 if is_suspected else 2
     assert sent == expected
+    assert len(detector.trials) == expected
+    assert all(detector.trials)
     assert all(subrequest.has_ended for subrequest in subrequests)
 
 
