Review strikes in basilwall serve, too, by the code that entry VMs use

What callers of basilwall serve would see: contents that two outages lost, which end their searchers within tens of milliseconds, refused for 300 s. It was suspected since the review of strikes, which only entry VMs had.

Cause: one look at unrelated searchers, at the first loss, when most still answer. First step of the join of both ways: one review. Crash tracker and crash detection still stand twice.

The new test failed before (quarantined).

--- a/basilwall/backend/crash_tracker.py
+++ b/basilwall/backend/crash_tracker.py
@@ -15,6 +15,7 @@
 
 from basilwall.backend.loss_classifier import LossClassifier, LostSearcher
 from basilwall.backend.pool import AttemptJob
+from basilwall.backend.strike_review import StrikeReview
 from basilwall.parts.clock import Clock
 from basilwall.parts.known_good import KnownGood
 from basilwall.parts.quarantine import Quarantine, Suspicion
@@ -76,6 +77,9 @@
         self._classification_slots = threading.BoundedSemaphore(
             MAX_CLASSIFICATIONS
         )
+        self._review = StrikeReview(
+            quarantine, loss_classifier, _no_searchers, tasks.stopping.wait
+        )
         self._known_good = KnownGood()
         self._changed = threading.Condition()
 
@@ -173,9 +177,14 @@
     ) -> None:
         try:
             evidence = self._classify(content, lost)
-            self._add_strike(content, make_strike(evidence))
         finally:
             self._classification_slots.release()
+        strike = make_strike(evidence)
+        self._add_strike(content, strike)
+        if evidence is Evidence.DIED and self._review.review(
+            content.fingerprint, strike, lost
+        ):
+            self._notify_change()
 
     def _classify(self, content: Content, lost: LostSearcher) -> Evidence:
         return self._loss_classifier.classify(
@@ -214,5 +223,10 @@
         self.on_change()
 
 
+def _no_searchers(_: Fingerprint) -> set[SearcherAddress]:
+    """Return none: pending strikes name all searchers that were lost."""
+    return set()
+
+
 def _ignore_change() -> None:
     """Default of `on_change` until the links to other VMs exist."""
--- a/basilwall/forwarding/strike_review.py
+++ b/basilwall/backend/strike_review.py
@@ -17,7 +17,6 @@
     LossClassifier,
     LostSearcher,
 )
-from basilwall.forwarding.recent_losses import RecentLosses
 from basilwall.parts.quarantine import Quarantine
 from basilwall.records.ids import Fingerprint, SearcherAddress
 from basilwall.records.strike import Evidence, Strike
@@ -29,6 +28,9 @@
 #: Contents reviewed at a time; the strikes against further ones stand.
 MAX_REVIEWS = 32
 
+#: Returns the searchers that a content may have ended.
+CrashedBy = Callable[[Fingerprint], set[SearcherAddress]]
+
 _log = logging.getLogger(__name__)
 
 
@@ -39,7 +41,7 @@
         self,
         quarantine: Quarantine,
         loss_classifier: LossClassifier,
-        recent_losses: RecentLosses,
+        crashed_by: CrashedBy,
         pause: Callable[[float], object],
     ) -> None:
         """Make a review.
@@ -47,12 +49,13 @@
         Args:
             quarantine: Keeps the strikes.
             loss_classifier: Probes unrelated searchers.
-            recent_losses: The searchers that this VM lost lately.
+            crashed_by: Returns the searchers that a content may have ended,
+                as far as no strikes say so.
             pause: Waits for a number of seconds, or until the VM stops.
         """
         self._quarantine = quarantine
         self._loss_classifier = loss_classifier
-        self._recent_losses = recent_losses
+        self._crashed_by = crashed_by
         self._pause = pause
         self._strikes_by_content: dict[Fingerprint, list[Strike]] = {}
         self._lock = threading.Lock()
@@ -101,16 +104,17 @@
 
     def _has_outage(self, content: Fingerprint, lost: LostSearcher) -> bool:
         ended = self._loss_classifier.find_simultaneous(
-            lost, self._crashed_by(content)
+            lost, self._all_crashed_by(content)
         )
         if len(ended) < MIN_UNRELATED_DEAD:
             return False
         # Other VMs may have lost them to the same content.
         self._pause(STRIKE_TRANSIT_SECONDS)
-        return len(ended - self._crashed_by(content)) >= MIN_UNRELATED_DEAD
+        ended -= self._all_crashed_by(content)
+        return len(ended) >= MIN_UNRELATED_DEAD
 
-    def _crashed_by(self, content: Fingerprint) -> set[SearcherAddress]:
+    def _all_crashed_by(self, content: Fingerprint) -> set[SearcherAddress]:
         """Return the searchers that this content may have ended."""
         return self._quarantine.struck_searchers(
             content, include_cleared=True
-        ) | self._recent_losses.searchers_of(content)
+        ) | self._crashed_by(content)
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -20,13 +20,13 @@
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier, LostSearcher
+from basilwall.backend.strike_review import OUTAGE_SECONDS, StrikeReview
 from basilwall.forwarding.crash_detector import CrashDetector
 from basilwall.forwarding.recent_losses import (
     RUN_JITTER_SECONDS,
     RecentLoss,
     RecentLosses,
 )
-from basilwall.forwarding.strike_review import OUTAGE_SECONDS, StrikeReview
 from basilwall.forwarding.transport import Attempt
 from basilwall.parts.clock import Clock
 from basilwall.parts.content_strikes import ContentStrikes
@@ -125,7 +125,7 @@
         self._review = StrikeReview(
             quarantine,
             loss_classifier,
-            self._recent_losses,
+            self._recent_losses.searchers_of,
             tasks.stopping.wait,
         )
 
--- a/basilwall/query/canary_test.py
+++ b/basilwall/query/canary_test.py
@@ -9,6 +9,8 @@
 import random
 from collections import Counter, defaultdict
 from contextlib import contextmanager
+from functools import partial
+from types import SimpleNamespace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -81,6 +83,12 @@
 
     def __init__(self):
         self.deferred = None
+        self.stopping = SimpleNamespace(wait=self.wait)
+        #: Called whenever a task waits.
+        self.on_wait = dict
+
+    def wait(self, _):
+        self.on_wait()
 
     def start(self, task):
         if self.deferred is None:
@@ -279,6 +287,20 @@
         return False
 
 
+def test_an_outage_that_goes_on_after_the_first_loss_blames_no_content():
+    world = World()
+    first, *others = PART_BY_SEARCHER
+    body = next(iter(CONTENT_BY_BODY))
+    world.tasks.on_wait = partial(world.kill, others)
+    for _ in range(2):
+        world.kill([first])
+        world.report_loss(0, body, first)
+        world.clock.advance(2 * RESTART_SECONDS)
+        world.answer_other_contents()
+    suspicion = world.vms[0][1].suspicion_of(CONTENT_BY_BODY[body])
+    assert suspicion is Suspicion.NONE
+
+
 def test_searchers_crashed_by_a_content_are_no_sign_of_outage():
     world = World()
     victims = ['0:0', '1:0', '2:0']
