Don't send a content on that nobody answered and other VMs lost searchers to

What callers would see: a query whose first two searchers pause for 0.3 s goes on to all shards, though another VM told meanwhile that its content ended searchers: one of each shard would end.

Cause: after the longest wait only losses of this request counted. Now the content goes on without an answer only if it isn't refused by then. The test without an answer failed before. FirstAttempts stands in one place again.

--- a/basilwall/forwarding/content_trial.py
+++ b/basilwall/forwarding/content_trial.py
@@ -26,6 +26,7 @@
 #: equally good to begin with.
 SAME_SPEED_RATIO = 2
 
+#: Services and the searchers that a request goes to first.
 FirstAttempts = list[tuple[SubRequest, SearcherStats]]
 
 
@@ -65,7 +66,8 @@
             deadline: When the request ends, in monotonic seconds.
 
         Returns:
-            Those that may get it now, none if searchers were lost under it.
+            Those that may get it now; none if searchers were lost under it,
+            here or at other VMs, and nobody has answered.
         """
         untried = self._in_order(first_attempts)
         now = self._context.clock.monotonic()
@@ -85,7 +87,7 @@
             else:
                 break
         self._canary.is_trial = False
-        if not self._canary.is_harmful:
+        if self._may_go_on(tried):
             return untried
         for untried_subrequest, _ in untried:
             untried_subrequest.has_ended = True
@@ -99,6 +101,15 @@
         is_harmful = self._canary.is_harmful
         return is_late or is_harmful or self._context.is_given_up()
 
+    def _may_go_on(self, tried: Iterable[SubRequest]) -> bool:
+        """Return whether the others may get the content now."""
+        if self._canary.is_harmful:
+            return False
+        if any(subrequest.success for subrequest in tried):
+            return True
+        # Other VMs may have lost searchers under it meanwhile.
+        return not self._context.crash_detector.seconds_refused(self._call)
+
     def _in_order(self, first_attempts: FirstAttempts) -> FirstAttempts:
         """Sort first attempts so that VMs near each other begin alike.
 
--- a/basilwall/forwarding/content_trial_test.py
+++ b/basilwall/forwarding/content_trial_test.py
@@ -24,7 +24,12 @@
     def __init__(self, clock):
         self.clock = clock
         self.transport = self
+        self.crash_detector = self
         self.prepared = []
+        self.refused_seconds = 0
+
+    def seconds_refused(self, _):
+        return self.refused_seconds
 
     def prepare_connection(self, searcher):
         self.prepared.append(searcher.service)
@@ -40,6 +45,7 @@
         self.clock = ManualClock()
         self.outcomes = list(outcomes)
         self.sent, self.retried, self.in_flight = [], [], []
+        self.context = Context(self.clock)
         self.stats = [
             SearcherStats(
                 Searcher(
@@ -62,7 +68,6 @@
     def run(self):
         now = self.clock.monotonic()
         call = Call(b'GET', b'/a/', 'h', b'1', b'', b'', now, now + 2)
-        self.context = Context(self.clock)
         trial = ContentTrial(
             call, self.context, self.canary, self._send, self._wait
         )
@@ -131,6 +136,15 @@
     assert took == pytest.approx(MAX_TRIAL_SECONDS)
 
 
+@pytest.mark.parametrize(('outcome', 'untried'), [(SILENT, 0), (ANSWERS, 8)])
+def test_a_content_that_other_vms_lost_searchers_to_goes_on_if_answered(
+    outcome, untried
+):
+    trial = Trial(outcome)
+    trial.context.refused_seconds = 1
+    assert len(trial.run()) == untried
+
+
 def test_a_failure_that_is_no_loss_makes_another_one_begin():
     trial = Trial(FAILS, ANSWERS)
     assert len(trial.run()) == SHARDS - UNKNOWN_AT_ONCE - 1
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from basilwall.forwarding.completion import CompletionPolicy
-from basilwall.forwarding.content_trial import ContentTrial
+from basilwall.forwarding.content_trial import ContentTrial, FirstAttempts
 from basilwall.forwarding.context import ForwardingContext, record_result
 from basilwall.forwarding.extra_attempt_canary import (
     NO_SEARCHER,
@@ -49,8 +49,6 @@
 #: An attempt with less time left until the deadline is not sent.
 MIN_ATTEMPT_SECONDS = 0.005
 
-FirstAttempts = list[tuple[SubRequest, SearcherStats]]
-
 
 class RequestExecution:
     """The attempts of one request; `close` ends those in flight."""
