Split two large test files: who reads the store, and the world of crashing contents

The tests of which VMs read the store, and the fakes that the golden session of crashes uses too, stand in files of their own now. Tests and bounds are unchanged.

--- a/tests/crashes_golden_test.py
+++ b/tests/crashes_golden_test.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from basilwall.parts.quarantine import ENTRY_TTL_SECONDS
-from basilwall.query.canary_test import (
+from basilwall.query.crashing_world_test import (
     CONTENT_BY_BODY,
     CRASHING,
     INNOCENT,
