--- a/basilwall/forwarding/content_trial.py
+++ b/basilwall/forwarding/content_trial.py
@@ -19,8 +19,8 @@
 #: Searchers that get a content at once of which nothing is known. One of them
 #: may pause, so two answer sooner.
 UNKNOWN_AT_ONCE = 2
-#: Longest wait for the first answer to such a content, more than twice as long
-#: as a crashing one takes.
+#: Longest wait for the first answer to such a content, longer than a crashing
+#: one takes to end a searcher.
 MAX_TRIAL_SECONDS = 0.3
 #: Searchers that take up to this many times as long as the fastest one are
 #: equally good to begin with.
