--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -145,13 +145,17 @@
         except PlatformError as error:
             health.failures += 1
             if health.failures == 1:
-                _log.warning('platform not read', extra={'error': str(error)})
+                self._log_failed(error, began_at)
             return False
         self._apply(reply, after)
         if health.failures:
             health.recovered_at = self._clock.monotonic()
             _log.info(
-                'platform read again', extra={'failures': health.failures}
+                'platform read again',
+                extra={
+                    'failures': health.failures,
+                    'unread_seconds': self._unread_seconds(),
+                },
             )
         health.failures = 0
         health.last_read_at = self._clock.monotonic()
@@ -170,6 +174,24 @@
             self._set_revision(max(self._after, reply.revision))
         self.on_revision()
 
+    def _log_failed(self, error: PlatformError, began_at: float) -> None:
+        seconds = round(self._clock.monotonic() - began_at, 2)
+        _log.warning(
+            'platform not read',
+            extra={
+                'error': str(error),
+                'seconds': seconds,
+                'unread_seconds': self._unread_seconds(),
+            },
+        )
+
+    def _unread_seconds(self) -> float | None:
+        """Return the time since the last successful read, if any."""
+        read_at = self.health.last_read_at
+        if read_at is None:
+            return None
+        return round(self._clock.monotonic() - read_at, 2)
+
     def _read_and_wait(
         self,
         backoff_seconds: float,
