--- a/basilwall/standin/http_server.py
+++ b/basilwall/standin/http_server.py
@@ -18,13 +18,22 @@
 
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
+    stand_in: 'HttpStandIn'
+    #: Nothing more comes on this connection, since a request or reply was lost.
+    is_lost = False
+
+    def parse_request(self) -> bool:
+        """Read the head of a request; one that comes in silence is lost."""
+        return super().parse_request() and not self._loses_now()
 
     def read_body(self) -> bytes:
         """Return the whole body of the request."""
         return self.rfile.read(int(self.headers.get('Content-Length') or 0))
 
     def reply(self, status: int, body: bytes) -> None:
-        """Send a reply in one write."""
+        """Send a reply in one write, unless it is lost."""
+        if self._loses_now():
+            return
         head = (
             f'HTTP/1.1 {status} .\r\n'
             'Content-Type: application/json\r\n'
@@ -44,6 +53,10 @@
     def log_message(self, *_: Any) -> None:
         """Suppress the access log; stand-ins record requests instead."""
 
+    def _loses_now(self) -> bool:
+        self.is_lost = self.is_lost or self.stand_in.is_silent
+        return self.is_lost
+
 
 class StandInServer(socketserver.ThreadingTCPServer):
     """Serves each connection on a daemon thread.
@@ -99,13 +112,19 @@
 
 
 class HttpStandIn:
-    """Base of stand-ins that serve HTTP on threads."""
+    """Base of stand-ins that serve HTTP on threads.
+
+    Attributes:
+        is_silent: Requests and replies are lost, and what follows on their
+            connections.
+    """
 
     #: Class of the handlers; `stand_in` is set on a subclass of it.
     handler_class: type[StandInHandler]
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.is_silent = False
         self._server: StandInServer | None = None
 
     def start(self) -> None:
--- a/tests/documents_in_force_test.py
+++ b/tests/documents_in_force_test.py
@@ -6,14 +6,13 @@
 
 from tests.entry_stage import (
     BOUNDS,
-    ROUTES,
     ask,
     other_vm,
+    publish_route,
     request,
-    route,
+    seconds_until_served,
     staged,
     status_of,
-    table,
     wait_until,
 )
 
@@ -27,19 +26,6 @@
         yield stage
 
 
-def publish(stage, version):
-    """Write a table with one more route and return a path on that route."""
-    added = route(f'/new-{version}/', service='single')
-    stage.store.put('op/config', table(version, [*ROUTES, added]))
-    return f'/new-{version}/a'
-
-
-def seconds_until_served(caller, path):
-    began = time.monotonic()
-    wait_until(lambda: status_of(ask(caller, request(path))) == 200)
-    return time.monotonic() - began
-
-
 def test_a_vm_that_the_store_turns_away_gets_a_new_table_in_time(
     stage, tmp_path
 ):
@@ -47,23 +33,23 @@
     folder.mkdir()
     with other_vm(stage, folder) as other:
         other.way_to_store.cut()
-        path = publish(stage, 2)
+        path = publish_route(stage, 2)
         assert seconds_until_served(other.caller, path) < BOUND_SECONDS
 
 
 def test_a_table_is_in_force_though_its_revision_was_given_out_before(stage):
     copy = stage.store.copy()
     for version in range(2, 12):
-        lost = publish(stage, version)
+        lost = publish_route(stage, version)
     seconds_until_served(stage.caller, lost)
     stage.store.restore(copy)
-    path = publish(stage, 12)
+    path = publish_route(stage, 12)
     assert seconds_until_served(stage.caller, path) < BOUND_SECONDS
 
 
 def test_a_table_in_force_stays_if_the_store_returns_with_an_older_one(stage):
     copy = stage.store.copy()
-    path = publish(stage, 2)
+    path = publish_route(stage, 2)
     seconds_until_served(stage.caller, path)
     stage.store.restore(copy)
     end = time.monotonic() + BOUND_SECONDS
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -234,6 +234,20 @@
         yield stage
 
 
+def publish_route(stage, version):
+    """Write a table with one more route and return a path on that route."""
+    added = route(f'/new-{version}/', service='single')
+    stage.store.put('op/config', table(version, [*ROUTES, added]))
+    return f'/new-{version}/a'
+
+
+def seconds_until_served(caller, path):
+    """Return how long a path is not served yet."""
+    began = time.monotonic()
+    wait_until(lambda: status_of(ask(caller, request(path))) == 200)
+    return time.monotonic() - began
+
+
 @dataclass
 class OtherVm:
     """A second VM of a stage, which reaches the store by a way of its own."""
