Check whether the store answers while a call hangs, and end calls of an outage

Cause: a call that the store should answer at once had the timeout of one that waits (5 s, or 3 s), nothing ended it once the store was back, and a backoff of up to 3 s followed. A change and an outage make all VMs begin such calls at the same time. Class of fault: a call that is waited for alone, whose only end is a timeout made for another wait. A held call begun in an outage of 0.1 s was lost as well, and noticed after its hold.

Now a held call has cheap reads beside it, each 0.35 to 0.55 s, drawn by each VM. They cost a tenth of a call, don't count towards the rate, and show the store's revision. If one is overdue, further ones begin on connections of their own; once one is answered, or shows a revision that the held call did not bring, the store is read on its connection. Nothing is given up meanwhile: a slow store answers the first call first, so its answers are no longer thrown away. basilwall serve reads its configuration service by the same code. The backoff after a refusal is 0.6 s at most, 3 s before.

Ruled out: catching up from other VMs, since no other VM knows more; shorter timeouts alone, since a store that answers after 2 s would never be read; shorter holds, as each call to the store is paid for.

Two tests of the store's client expected the first call after a restart to fail; it is read at once now, and they check what it brings, without a try that may fail.

--- a/basilwall/configuration/platform_watch.py
+++ b/basilwall/configuration/platform_watch.py
@@ -23,7 +23,7 @@
 
 #: Backoff after a failed watch; it doubles up to the maximum.
 INITIAL_BACKOFF_SECONDS = 0.2
-MAX_BACKOFF_SECONDS = 2.0
+MAX_BACKOFF_SECONDS = 0.4
 MIN_JITTER_FACTOR = 0.5
 MAX_JITTER_FACTOR = 1.5
 #: Least time between two successful watches.
@@ -148,8 +148,9 @@
                 self._log_failed(error, began_at)
             return False
         self._apply(reply, after)
-        if health.failures:
+        if health.failures or reply.was_silent:
             health.recovered_at = self._clock.monotonic()
+        if health.failures:
             _log.info(
                 'platform read again',
                 extra={
--- a/basilwall/entry.py
+++ b/basilwall/entry.py
@@ -198,7 +198,9 @@
     may_relay = _may_relay(settings)
     watch_seconds = SHORT_WATCH_SECONDS if may_relay else LONG_WATCH_SECONDS
     progress = TransferProgress(clock)
-    store = HttpStoreClient(settings.store_address, watch_seconds, progress)
+    store = HttpStoreClient(
+        settings.store_address, watch_seconds, progress, clock, rng
+    )
     client = ChangeClient(partial(large_values, register))
     reader = RelayedReader(
         store, fleet.membership, settings.place, clock, may_relay, client
--- a/basilwall/fleet/relayed_reader.py
+++ b/basilwall/fleet/relayed_reader.py
@@ -157,6 +157,9 @@
                 self._skip(reader, error, asked_at)
         started_at = self._clock.monotonic()
         reply = self._store.watch(after)
+        if reply.was_silent:
+            # The readers were cut off from the store like this VM.
+            self._skipped_until.clear()
         self._record_reply(
             STORE_SOURCE, reply, started_at, self._clock.monotonic()
         )
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -1,9 +1,8 @@
 """Read-only HTTP client of the platform's metadata store.
 
 The first read lists all keys page by page; after that, one long-polling call
-watches all keys. The connection is kept open with TCP keep-alive probes,
-because a long-polling call can't tell a store without changes from a dead
-connection.
+watches all keys. Whether the store answers is found out by a read that costs
+little and may be stale; see `basilwall.configuration.long_poll`.
 
 The store may come back from an older copy and give out revisions again. It then
 raises a number, its epoch, which is part of all its responses. Inside this
@@ -16,10 +15,10 @@
 import http.client
 import json
 import logging
+import random
 import re
-import socket
-from dataclasses import dataclass
-from typing import Any, TypeVar
+from functools import partial
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -29,23 +28,19 @@
     PlatformReader,
     WatchReply,
 )
+from basilwall.configuration.http_call import HTTP_OK, CallResponse
 from basilwall.configuration.limited_read import read_body
+from basilwall.configuration.long_poll import LongPollClient, Poll
 from basilwall.configuration.transfer_progress import TransferProgress
+from basilwall.parts.clock import Clock
 from basilwall.records.catalogue import PublishedValue
 
-#: Added to the duration of a watch to get the timeout of its call.
-RESPONSE_GRACE_SECONDS = 1.0
-READ_TIMEOUT_SECONDS = 2.0
 MS_PER_SECOND = 1000
 #: A listing with more pages is taken for an endless one and given up.
 MAX_PAGES = 1000
-#: TCP keep-alive: idle time before the first probe, time between probes, and
-#: the number of unanswered probes after which the connection is dead.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
-HTTP_OK = 200
 HTTP_GONE = 410
+#: Lists the keys with a prefix that none has. It costs a tenth of other reads.
+CHECK_PATH = '/v1/kv-range?prefix=none/&stale_ok=1'
 #: Revisions of one epoch; further ones are refused as invalid.
 REVISIONS_PER_EPOCH = 100_000_000_000
 #: Greater epochs are ignored as invalid.
@@ -57,6 +52,7 @@
 #: Sorts after all ASCII characters, so no id of a searcher is skipped if a page
 #: is to begin after a key that ends so.
 REPLACEMENT_CHARACTER = '\ufffd'
+_USABLE_STATUSES = frozenset((HTTP_OK, HTTP_GONE))
 _LONE_SURROGATES = re.compile('[\ud800-\udfff]')
 
 _log = logging.getLogger(__name__)
@@ -83,15 +79,6 @@
     at: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Response:
-    """A response of the store; `epoch` is None if it names none."""
-
-    status: int
-    body: bytes
-    epoch: int | None
-
-
 DecodedT = TypeVar('DecodedT')
 
 _range_decoder = msgspec.json.Decoder(_Range)
@@ -102,7 +89,12 @@
     """Client of the metadata store at one address."""
 
     def __init__(
-        self, address: str, watch_seconds: float, progress: TransferProgress
+        self,
+        address: str,
+        watch_seconds: float,
+        progress: TransferProgress,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         """Create a client.
 
@@ -110,12 +102,17 @@
             address: The address of the store.
             watch_seconds: For how long the store holds a watch.
             progress: Learns of the replies that are being received.
+            clock: Times the calls.
+            rng: Draws the time between calls.
         """
-        self.call_count = 0
         self._progress = progress
-        self._address = address
         self._watch_seconds = watch_seconds
-        self._connection: http.client.HTTPConnection | None = None
+        self._calls = LongPollClient(address, clock, rng, self._read_body)
+
+    @property
+    def call_count(self) -> int:
+        """All calls made."""
+        return self._calls.call_count
 
     def watch(self, after: int) -> WatchReply:
         """Wait until there are changes above a revision or the watch ends.
@@ -132,17 +129,23 @@
             PlatformError: If the store can't be reached or its reply is
                 invalid.
         """
-        if not after:
-            return self._list_all(after)
+        reply = self._read_changes(after) if after else self._list_all(after)
+        was_silent = self._calls.take_was_silent()
+        return msgspec.structs.replace(reply, was_silent=was_silent)
+
+    def _read_changes(self, after: int) -> WatchReply:
         epoch, number = divmod(after, REVISIONS_PER_EPOCH)
-        # The first call on a connection doesn't wait: it tells at once whether
-        # the store is back and whether it is still of the same epoch.
-        is_connected = self._connection is not None
-        wait_ms = (
-            int(self._watch_seconds * MS_PER_SECOND) if is_connected else 0
+        path = f'/v1/kv-watch?prefix=&after={number}&wait_ms='
+        wait_ms = int(self._watch_seconds * MS_PER_SECOND)
+        response = self._get(
+            Poll(
+                f'{path}{wait_ms}',
+                f'{path}0',
+                CHECK_PATH,
+                self._watch_seconds,
+                partial(_is_ahead, number),
+            )
         )
-        path = f'/v1/kv-watch?prefix=&after={number}&wait_ms={wait_ms}'
-        response = self._get(path, self._watch_seconds + RESPONSE_GRACE_SECONDS)
         is_restored = _epoch_of(response, epoch) != epoch
         if is_restored or response.status == HTTP_GONE:
             return self._list_all(after)
@@ -162,9 +165,8 @@
         listed: list[PublishedValue] = []
         first_revision, page_query = 0, ''
         for _ in range(MAX_PAGES):
-            response = self._get(
-                f'/v1/kv-range?prefix={page_query}', READ_TIMEOUT_SECONDS
-            )
+            path = f'/v1/kv-range?prefix={page_query}'
+            response = self._get(Poll(path, path, CHECK_PATH, 0, _has_no_news))
             epoch = _epoch_of(response, former_epoch)
             page = _decode(_range_decoder, response)
             first_revision = first_revision or _revision(epoch, page.at)
@@ -181,25 +183,11 @@
             page_query = f'&after={quote(page.items[-1].key)}'
         raise PlatformError(f'listing has more than {MAX_PAGES} pages')
 
-    def _get(self, path: str, timeout: float) -> _Response:
-        self.call_count += 1
-        connection = self._connection
-        if connection is None:
-            connection = http.client.HTTPConnection(self._address)
-        self._connection = None
-        try:
-            connection.timeout = timeout
-            _ensure_connected(connection, timeout)
-            connection.request('GET', path)
-            response = connection.getresponse()
-            body = self._read_body(response)
-        except (OSError, http.client.HTTPException) as error:
-            connection.close()
-            raise PlatformError(repr(error)) from error
-        if response.will_close:
-            connection.close()
-        self._connection = connection
-        return _Response(response.status, body, _read_epoch(response))
+    def _get(self, poll: Poll) -> CallResponse:
+        response = self._calls.get(poll)
+        if response.status not in _USABLE_STATUSES:
+            self._calls.drop_connections()
+        return response
 
     def _read_body(self, response: http.client.HTTPResponse) -> bytes:
         if response.status != HTTP_OK:
@@ -208,25 +196,7 @@
             return read_body(response, on_piece=self._progress.note_piece)
 
 
-def _ensure_connected(
-    connection: http.client.HTTPConnection,
-    timeout: float,
-) -> None:
-    if connection.sock is None:
-        connection.connect()
-        level = socket.IPPROTO_TCP
-        connected: Any = connection.sock
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        connected.setsockopt(level, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-        connected.setsockopt(
-            level, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
-        )
-        connected.setsockopt(level, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    open_socket: Any = connection.sock
-    open_socket.settimeout(timeout)
-
-
-def _read_epoch(response: http.client.HTTPResponse) -> int | None:
+def _read_epoch(response: CallResponse) -> int | None:
     text = response.headers.get(EPOCH_HEADER)
     if text is None:
         return None
@@ -240,19 +210,29 @@
     return int(text)
 
 
-def _epoch_of(response: _Response, known_epoch: int) -> int:
+def _epoch_of(response: CallResponse, known_epoch: int) -> int:
     """Return the epoch of a response, the known one if it names none.
 
     Raises:
         PlatformError: If it is older than the known one.
     """
-    if response.epoch is None:
+    epoch = _read_epoch(response)
+    if epoch is None:
         return known_epoch
-    if response.epoch < known_epoch:
+    if epoch < known_epoch:
         raise PlatformError(
-            f'response of epoch {response.epoch}, {known_epoch} is known'
+            f'response of epoch {epoch}, {known_epoch} is known'
         )
-    return response.epoch
+    return epoch
+
+
+def _is_ahead(number: int, check: CallResponse) -> bool:
+    """Return whether a check shows changes after a revision of the store."""
+    return _decode(_range_decoder, check).at > number
+
+
+def _has_no_news(_: CallResponse) -> bool:
+    return False
 
 
 def _is_restored(after: int, epoch: int) -> bool:
@@ -274,7 +254,7 @@
 
 def _decode(
     decoder: msgspec.json.Decoder[DecodedT],
-    response: _Response,
+    response: CallResponse,
 ) -> DecodedT:
     if response.status != HTTP_OK:
         raise PlatformError(
--- a/basilwall/platform/store_test.py
+++ b/basilwall/platform/store_test.py
@@ -1,6 +1,7 @@
 """The client of the metadata store: epochs, lost history, listings."""
 
 import math
+import random
 
 import pytest
 
@@ -32,13 +33,9 @@
 
 @pytest.fixture(name='client')
 def _client(store, progress):
-    return HttpStoreClient(store.address, 0.2, progress)
-
-
-def watch_after_restart(client, after):
-    with pytest.raises(PlatformError):
-        client.watch(after)
-    return client.watch(after)
+    return HttpStoreClient(
+        store.address, 0.2, progress, SystemClock(), random.Random(1)
+    )
 
 
 def bodies(reply):
@@ -95,7 +92,7 @@
     before = client.watch(0)
     store.restore(copy)
     store.put('c', b'3')
-    reply = watch_after_restart(client, before.revision)
+    reply = client.watch(before.revision)
     assert reply.is_whole
     assert reply.is_restored
     assert bodies(reply) == {'a': b'1', 'c': b'3'}
@@ -114,7 +111,7 @@
     store.restore(copy)
     store.put('b', b'3')
     store.put('b', b'4')
-    reply = watch_after_restart(client, before.revision)
+    reply = client.watch(before.revision)
     assert reply.is_restored
     assert bodies(reply) == {'a': b'1', 'b': b'4'}
 
--- a/basilwall/standin/http_server.py
+++ b/basilwall/standin/http_server.py
@@ -18,22 +18,13 @@
 
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
-    stand_in: 'HttpStandIn'
-    #: Nothing more comes on this connection, since a request or reply was lost.
-    is_lost = False
-
-    def parse_request(self) -> bool:
-        """Read the head of a request; one that comes in silence is lost."""
-        return super().parse_request() and not self._loses_now()
 
     def read_body(self) -> bytes:
         """Return the whole body of the request."""
         return self.rfile.read(int(self.headers.get('Content-Length') or 0))
 
     def reply(self, status: int, body: bytes) -> None:
-        """Send a reply in one write, unless it is lost."""
-        if self._loses_now():
-            return
+        """Send a reply in one write."""
         head = (
             f'HTTP/1.1 {status} .\r\n'
             'Content-Type: application/json\r\n'
@@ -53,9 +44,30 @@
     def log_message(self, *_: Any) -> None:
         """Suppress the access log; stand-ins record requests instead."""
 
+
+class SilencedHandler(StandInHandler):
+    """Handles a connection of a stand-in that can fall silent."""
+
+    stand_in: 'HttpStandIn'
+
+    def setup(self) -> None:
+        """Prepare to handle a new connection."""
+        super().setup()
+        #: Nothing more comes on it, since a request or reply was lost.
+        self._is_lost = False
+
+    def parse_request(self) -> bool:
+        """Read the head of a request; one that comes in silence is lost."""
+        return super().parse_request() and not self._loses_now()
+
+    def reply(self, status: int, body: bytes) -> None:
+        """Send a reply in one write, unless it is lost."""
+        if not self._loses_now():
+            super().reply(status, body)
+
     def _loses_now(self) -> bool:
-        self.is_lost = self.is_lost or self.stand_in.is_silent
-        return self.is_lost
+        self._is_lost = self._is_lost or self.stand_in.is_silent
+        return self._is_lost
 
 
 class StandInServer(socketserver.ThreadingTCPServer):
--- a/basilwall/standin/metadata_store.py
+++ b/basilwall/standin/metadata_store.py
@@ -12,7 +12,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from basilwall.standin.http_server import HttpStandIn, StandInHandler
+from basilwall.standin.http_server import HttpStandIn, SilencedHandler
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -52,7 +52,7 @@
     changes: tuple[_Change, ...]
 
 
-class _StoreHandler(StandInHandler):
+class _StoreHandler(SilencedHandler):
     stand_in: 'MetadataStore'
 
     def extra_headers(self) -> str:
--- a/basilwall/standin/platform.py
+++ b/basilwall/standin/platform.py
@@ -13,7 +13,7 @@
 
 from basilwall.configuration.client import WatchReply
 from basilwall.records.catalogue import PublishedValue
-from basilwall.standin.http_server import HttpStandIn, StandInHandler
+from basilwall.standin.http_server import HttpStandIn, SilencedHandler
 
 MAX_VALUE_BYTES = 1_048_576
 MAX_CALLS_PER_SECOND = 2000
@@ -32,7 +32,7 @@
     show_up_to: int | None = None
 
 
-class _PlatformHandler(StandInHandler):
+class _PlatformHandler(SilencedHandler):
     stand_in: 'PlatformStandIn'
 
     def do_GET(self) -> None:
--- a/basilwall/wiring.py
+++ b/basilwall/wiring.py
@@ -21,10 +21,10 @@
 from basilwall.caller.planned_stop import PlannedStop
 from basilwall.caller.server import ListenConfig, caller_server
 from basilwall.caller.service import CallerService
-from basilwall.configuration.client import HttpPlatformReader
 from basilwall.configuration.initial_sync import wait_for_initial_sync
 from basilwall.configuration.platform_watch import PlatformWatch
 from basilwall.configuration.readers import is_platform_reader
+from basilwall.configuration.service_client import HttpPlatformReader
 from basilwall.configuration.state import PlatformState
 from basilwall.document.keys import CATALOGUE_PREFIX, FLEET_KEY, KEY_PREFIX
 from basilwall.operators.metrics import Metrics
@@ -214,7 +214,7 @@
         pause_detector=pause_detector,
         watches=[
             PlatformWatch(
-                HttpPlatformReader(address, KEY_PREFIX),
+                HttpPlatformReader(address, KEY_PREFIX, clock, random.Random()),
                 register,
                 clock,
                 random.Random(),
