Read a request under the limits in force when its head comes, not before the wait

Cause: RequestReader took the limits when it began to wait for the next request, and the parser of the next head got its limit as early. Class: what is in force is read before a wait. Limits are read once the head is complete; the parser is made anew if they change before bytes of a head come; a shorter idle timeout holds from the next request on, since the caller may not know of it. Looked at beside: the route table is taken when a request is served, after its body is read; attempts look at the table of their request by design.

--- a/basilwall/ingress/reading.py
+++ b/basilwall/ingress/reading.py
@@ -24,6 +24,10 @@
 HTTP_HEADERS_TOO_LARGE = 431
 
 
+def _do_nothing() -> None:
+    """Prepare nothing."""
+
+
 class CallerGoneError(Exception):
     """The connection ended or may be closed, and no request is in progress."""
 
@@ -75,6 +79,8 @@
         self._head_started_at: float | None = None
         self._received_at = clock.monotonic()
         self._opened_at = self._received_at
+        #: The limits in force when the parser was made.
+        self._parser_limits = limits()
         self.http = self._new_http()
 
     def next_request(self) -> CompleteRequest | BadRequest:
@@ -98,9 +104,10 @@
             return BadRequest(status, str(error))
 
     def _new_http(self) -> h11.Connection:
+        self._parser_limits = self._limits()
         return h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self._limits().max_header_bytes,
+            max_incomplete_event_size=self._parser_limits.max_header_bytes,
         )
 
     def _start_next_cycle(self) -> None:
@@ -113,10 +120,11 @@
             self.http.receive_data(b'')
 
     def _read_request(self) -> CompleteRequest:
-        limits = self._limits()
         # Of a pipelined request all bytes may have been read before.
         self._received_at = self._clock.monotonic()
-        head = self._read_head(limits)
+        head = self._read_head()
+        # The wait for the head may have been long.
+        limits = self._limits()
         head_received_at = self._received_at
         framing_error = _framing_error(head)
         if framing_error:
@@ -128,18 +136,26 @@
             self._caller.sendall(self.http.send(continue_response) or b'')
         return CompleteRequest(head, self._read_body(limits), head_received_at)
 
-    def _read_head(self, limits: CallerLimits) -> h11.Request:
+    def _read_head(self) -> h11.Request:
         self._head_started_at = None
-        event = self._next_event(
-            partial(
-                self._check_head_time,
-                limits,
-                self._clock.monotonic() + limits.idle_timeout,
-            ),
-        )
-        if isinstance(event, h11.Request):
-            return event
-        raise CallerGoneError
+        idle_since = self._clock.monotonic()
+        idle_seconds = self._limits().idle_timeout
+        while True:
+            event = self.http.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                raise CallerGoneError
+            limits = self._limits()
+            # The caller may not know yet that the timeout is shorter now.
+            idle_seconds = max(idle_seconds, limits.idle_timeout)
+            self._check_head_time(limits, idle_since + idle_seconds)
+            self._receive(self._renew_parser)
+
+    def _renew_parser(self) -> None:
+        """Read the head under the limits in force, if they have changed."""
+        if self._limits() != self._parser_limits:
+            self._start_next_cycle()
 
     def _read_body(self, limits: CallerLimits) -> bytes:
         chunks: list[bytes] = []
@@ -194,12 +210,17 @@
                 HTTP_TIMEOUT, 'no further part of the body came in time'
             )
 
-    def _receive(self) -> None:
-        """Read the caller's bytes, waiting at most `MAX_WAIT_SECONDS`."""
+    def _receive(self, prepare: Callable[[], None] = _do_nothing) -> None:
+        """Read the caller's bytes, waiting at most `MAX_WAIT_SECONDS`.
+
+        Args:
+            prepare: Called once there are any, before they are parsed.
+        """
         if not self._poll.poll(MAX_WAIT_SECONDS * MS_PER_SECOND):
             return
         # Parsing takes time of its own, which counts for the caller.
         self._received_at = self._clock.monotonic()
+        prepare()
         try:
             self.http.receive_data(self._caller.recv(READ_BYTES))
         except BlockingIOError:
