Handle signals before a VM process imports what it runs

In basilwall serve SIGHUP ended the process at any moment.

Cause: handlers were set after all imports. Class: a signal before its handler. SIGHUP does nothing at any moment: the settings are read after the imports, and again when the file changes.

--- a/basilwall/parts/stop_signals.py
+++ b/basilwall/parts/stop_signals.py
@@ -1,5 +1,7 @@
 """Sets events on SIGTERM and SIGINT, whatever the main thread does.
 
+SIGHUP does nothing: settings are read again when their file changes.
+
 Python runs signal handlers in the main thread. There it may hold the lock of
 the event that it is about to wait for, which a handler would wait for for ever;
 and while it waits for a lock, a signal that the system gives to another thread
@@ -27,12 +29,12 @@
     threading.Thread(
         target=_set_events, args=(reader, events), daemon=True
     ).start()
-    for stop_signal in STOP_SIGNALS:
-        signal.signal(stop_signal, _ignore_signal)
+    for handled in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(handled, _ignore_signal)
 
 
 def _ignore_signal(*_: object) -> None:
-    """Do nothing: the pipe reports the signal."""
+    """Do nothing: the pipe reports the signals to stop."""
 
 
 def _set_events(reader: int, events: Sequence[threading.Event]) -> None:
--- a/tests/deploy_test.py
+++ b/tests/deploy_test.py
@@ -28,7 +28,7 @@
 
 def test_the_entry_program_imports_no_other_library():
     code = (
-        'import sys, json, basilwall.entry; '
+        'import sys, json, basilwall.entry_vm; '
         'print(json.dumps(sorted({n.split(".")[0] for n in sys.modules})))'
     )
     done = subprocess.run(
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from basilwall.entry import EntryVm, running_entry
+from basilwall.entry_vm import EntryVm, running_entry
 from basilwall.platform.node import read_node_file
 from basilwall.settings.current import CurrentSettings
 from basilwall.standin.metadata_store import MetadataStore
@@ -230,7 +230,7 @@
                 _add_searcher(stage, stack, service, zone, next(free), number)
         current = CurrentSettings(settings_file, read_node_file)
         stage.vm = stack.enter_context(running_entry(current))
-        wait_until(lambda: _is_ready(stage.ready))
+        wait_until(lambda: is_ready(stage.ready))
         yield stage
 
 
@@ -271,11 +271,11 @@
         settings_file = node_file(folder, [ports[5], *ports[1:5]], seed)
         current = CurrentSettings(settings_file, read_node_file)
         stack.enter_context(running_entry(current))
-        wait_until(lambda: _is_ready(ports[2]))
+        wait_until(lambda: is_ready(ports[2]))
         yield OtherVm(ports[1], way)
 
 
-def _is_ready(address):
+def is_ready(address):
     with contextlib.suppress(OSError):
         return status_of(ask(address, request('/v1/readiness'))) == 200
     return False
