Answer each request that was read, whatever goes wrong, and any final status unchanged

Cause: Ingress._encode looked up a phrase for any status, and an error between reading a request and writing its answer ended the connection's task. Class: an unforeseen error ends a task that serves others. Now a status without a name has no phrase. An error in decoding a request is answered as not run, one in serving or encoding as given up, with a line that has the id and the traceback, and the connection goes on. An error in reporting or recording harms no answer. The task that accepts connections, the tasks of basilwall serve for connections to searchers and for links to VMs go on after an error, too; the first and the last ended for good, the second one left a request without an outcome. SupersededAttempts starts what is queued in a loop; it called itself for each.

Looked at: all tasks that are started. The loops of the store, catching up, gossip, links and housekeeping are started again already. Short tasks (a fetch, a push, a classification) log their error and end; the pause between pushes could stay on only if its own two lines fail.

--- a/basilwall/backend/pool.py
+++ b/basilwall/backend/pool.py
@@ -5,6 +5,7 @@
 before it is needed.
 """
 
+import logging
 import queue
 import threading
 from collections.abc import Callable
@@ -19,6 +20,7 @@
     Answered,
     AttemptOutcome,
     AttemptRequest,
+    MayHaveRun,
     NotRun,
     OutcomeTag,
 )
@@ -29,6 +31,8 @@
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 3.0
 
+_log = logging.getLogger(__name__)
+
 
 def _always() -> bool:
     return True
@@ -123,7 +127,7 @@
             if job is None:
                 connection.close()
                 return
-            self._end(job, self._run(connection, job))
+            self._end(job, self._run_safely(connection, job))
             if not connection.is_open and not self._is_closed:
                 self._preconnect(connection)
 
@@ -133,6 +137,19 @@
         except ConnectError:
             self._note_unreachable()
 
+    def _run_safely(
+        self,
+        connection: SearcherConnection,
+        job: AttemptJob,
+    ) -> AttemptOutcome:
+        """Run an attempt; an unforeseen error ends it, not this task."""
+        try:
+            return self._run(connection, job)
+        except Exception as error:
+            _log.exception('attempt failed', extra={'searcher': self.address})
+            connection.close()
+            return MayHaveRun(self.address, OutcomeTag.LOST, repr(error))
+
     def _run(
         self,
         connection: SearcherConnection,
@@ -205,4 +222,9 @@
         job.ended_at = self._clock.monotonic()
         with self._lock:
             self.in_flight -= 1
-        job.deliver(job, outcome)
+        try:
+            job.deliver(job, outcome)
+        except Exception:
+            _log.exception(
+                'outcome not delivered', extra={'searcher': self.address}
+            )
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -76,18 +76,24 @@
             The final answer; with verdict CALLER_LEFT it is not to be sent.
         """
         table = self._context.routing_state.table
-        route = table.find_route(call.host, call.path) if table else None
+        route: Route | None = None
         trail = Trail()
         try:
+            route = table.find_route(call.host, call.path) if table else None
             answer = self._answer(call, table, route, caller, trail)
         except CallerLeftError:
             answer = Answer(Verdict.CALLER_LEFT, 0)
         except Exception:
-            # A caller is answered whatever goes wrong; the request may have
-            # been sent before.
+            # The request may have been sent before.
             _log.exception('request failed', extra={'request': call.request_id})
-            answer = self._answers.given_up()
-        self._reporter.report_end(call, route, table, answer, trail)
+            answer = self.failure(may_have_run=True)
+        try:
+            self._reporter.report_end(call, route, table, answer, trail)
+        except Exception:
+            _log.exception(
+                'end of request not reported',
+                extra={'request': call.request_id},
+            )
         return replace(
             answer,
             table_version=table.version if table else 0,
@@ -95,6 +101,18 @@
             route=route.name if route else NO_ROUTE,
         )
 
+    def failure(self, *, may_have_run: bool) -> Answer:
+        """Return the answer of a request that an unforeseen error ended.
+
+        Args:
+            may_have_run: Whether it may have been sent to a searcher.
+        """
+        if may_have_run:
+            return self._answers.given_up()
+        return self._answers.refusal(
+            Verdict.FAILED, RETRY_AFTER_NO_SEARCHER_SECONDS
+        )
+
     def record_sent(self, answer: Answer) -> None:
         """Record that an answer was sent to its caller."""
         if answer.waited_until is not None:
@@ -227,7 +245,8 @@
             if answer and not (may_have_run and says_not_run):
                 return answer
             may_have_run |= relayed.may_have_run
-        if may_have_run and self._has_expired(call, route):
+        now = self._context.clock.monotonic()
+        if may_have_run and now >= answer_due_at(call, route):
             return Answer(Verdict.TIMEOUT, HTTP_GATEWAY_TIMEOUT)
         if may_have_run:
             return self._answers.given_up()
@@ -266,9 +285,6 @@
             max_attempts=call.max_attempts,
         )
 
-    def _has_expired(self, call: Call, route: Route | None) -> bool:
-        return self._context.clock.monotonic() >= answer_due_at(call, route)
-
     def _subrequests(self, route: Route) -> list[SubRequest]:
         scatter_gather = route.scatter_gather
         if scatter_gather is not None:
--- a/basilwall/forwarding/superseded.py
+++ b/basilwall/forwarding/superseded.py
@@ -21,6 +21,8 @@
 SUPERSEDED_TIMEOUT_SECONDS = 1.0
 #: Interval between checks for timed-out attempts.
 POLL_INTERVAL_SECONDS = 0.05
+#: How often a thread with nothing to do looks whether it is to stop.
+MAX_IDLE_SECONDS = 1.0
 #: Further superseded attempts are closed at once.
 MAX_SUPERSEDED_ATTEMPTS = 256
 
@@ -96,22 +98,30 @@
     def run(self, stopping: threading.Event) -> None:
         """Wait for superseded attempts until `stopping` is set."""
         while not stopping.is_set():
-            self._start(block=not self._numbers_by_attempt)
+            self._start_all()
             for attempt, outcome in self._waiter.wait(POLL_INTERVAL_SECONDS):
                 self._note_and_end(attempt, outcome)
             self._close_overdue()
 
-    def _start(self, *, block: bool) -> None:
+    def _start_all(self) -> None:
+        """Start all that are queued; wait for one if none is in flight."""
+        while self._start_next(block=not self._numbers_by_attempt):
+            if self._new_attempts.empty():
+                return
+
+    def _start_next(self, *, block: bool) -> bool:
+        """Start the next one; False if there is none."""
         try:
-            attempt, attempt_number = self._new_attempts.get(block, timeout=1)
+            attempt, attempt_number = self._new_attempts.get(
+                block, timeout=MAX_IDLE_SECONDS
+            )
         except queue.Empty:
-            return
+            return False
         self._numbers_by_attempt[attempt] = attempt_number
         outcome = self._waiter.add(attempt)
         if outcome is not None:
             self._note_and_end(attempt, outcome)
-        if not self._new_attempts.empty():
-            self._start(block=False)
+        return True
 
     def _note_and_end(
         self, attempt: SocketAttempt, outcome: AttemptResult
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -19,6 +19,7 @@
 from basilwall.ingress.reading import (
     BadRequest,
     CallerGoneError,
+    CompleteRequest,
     RequestReader,
 )
 from basilwall.ingress.transfer import transfer_seconds
@@ -38,6 +39,11 @@
 LINGER_BYTES = 16_777_216
 READ_BYTES = 65_536
 
+#: Other statuses have no phrase.
+_PHRASE_BY_STATUS = {
+    status.value: status.phrase.encode() for status in HTTPStatus
+}
+
 _log = logging.getLogger(__name__)
 
 
@@ -73,6 +79,8 @@
             _log.debug('caller disconnected')
         except OSError as error:
             _log.info('connection failed', extra={'error': str(error)})
+        except Exception:
+            _log.exception('connection failed')
         finally:
             self.connections.discard(caller)
             _close_lingering(caller)
@@ -91,24 +99,53 @@
             if isinstance(request, BadRequest):
                 self._reject(caller, reader.http, request)
                 return
+            call, answer = self._answer(
+                caller, request, is_first_request=not number
+            )
+            if answer.verdict is Verdict.CALLER_LEFT:
+                return
+            if not self._send(caller, reader.http, call, answer):
+                return
+
+    def _answer(
+        self,
+        caller: socket.socket,
+        request: CompleteRequest,
+        *,
+        is_first_request: bool,
+    ) -> tuple[Call | None, Answer]:
+        """Return a request, None if it can't be decoded, and its answer."""
+        try:
             call = self.codec.decode_request(
                 request.head, request.body, request.head_received_at
             )
-            transfer = transfer_seconds(caller, is_first_request=not number)
-            call = replace(call, transfer_seconds=transfer)
-            if not self._serve_call(caller, reader.http, call):
-                return
+            transfer = transfer_seconds(
+                caller, is_first_request=is_first_request
+            )
+        except Exception:
+            _log.exception('request not decoded')
+            return None, self.forwarder.failure(may_have_run=False)
+        call = replace(call, transfer_seconds=transfer)
+        try:
+            return call, self.forwarder.serve(call, caller)
+        except Exception:
+            _log.exception('request failed', extra=_id_for_log(call))
+            return call, self.forwarder.failure(may_have_run=True)
 
-    def _serve_call(
-        self, caller: socket.socket, http: h11.Connection, call: Call
+    def _send(
+        self,
+        caller: socket.socket,
+        http: h11.Connection,
+        call: Call | None,
+        answer: Answer,
     ) -> bool:
-        """Answer one request; False if the connection must be closed."""
-        answer = self.forwarder.serve(call, caller)
-        if answer.verdict is Verdict.CALLER_LEFT:
-            return False
+        """Send an answer; False if the connection must be closed."""
         stays_open = not self.stop_state.is_stopping
         caller.sendall(self._encode(http, call, answer, keep_alive=stays_open))
-        self.forwarder.record_sent(answer)
+        try:
+            self.forwarder.record_sent(answer)
+        except Exception:
+            _log.exception('sent answer not recorded', extra=_id_for_log(call))
         return stays_open and http.our_state is h11.DONE
 
     def _reject(
@@ -133,20 +170,47 @@
         *,
         keep_alive: bool,
     ) -> bytes:
+        head, body = self._encode_head_safely(call, answer, keep_alive)
+        parts = [http.send(head) or b'']
+        if body and (call is None or call.method != b'HEAD'):
+            parts.append(http.send(h11.Data(data=body)) or b'')
+        parts.append(http.send(h11.EndOfMessage()) or b'')
+        return b''.join(parts)
+
+    def _encode_head_safely(
+        self, call: Call | None, answer: Answer, keep_alive: bool
+    ) -> tuple[h11.Response, bytes]:
+        """Return head and body of an answer, or of the failure to encode it."""
+        failure = self.forwarder.failure(may_have_run=True)
+        for candidate in (answer, failure):
+            try:
+                head = self._encode_head(call, candidate, keep_alive=keep_alive)
+            except Exception:
+                _log.exception('answer not encoded', extra=_id_for_log(call))
+            else:
+                return head, candidate.body
+        bare = h11.Response(
+            status_code=failure.status,
+            headers=[(b'Content-Length', b'0'), (b'Connection', b'close')],
+        )
+        return bare, b''
+
+    def _encode_head(
+        self, call: Call | None, answer: Answer, *, keep_alive: bool
+    ) -> h11.Response:
         headers = self.codec.encode_headers(call, answer)
         headers.append((b'Content-Length', str(len(answer.body)).encode()))
         if not keep_alive:
             headers.append((b'Connection', b'close'))
-        head = h11.Response(
+        return h11.Response(
             status_code=answer.status,
             headers=headers,
-            reason=answer.reason or HTTPStatus(answer.status).phrase.encode(),
+            reason=answer.reason or _PHRASE_BY_STATUS.get(answer.status, b''),
         )
-        parts = [http.send(head) or b'']
-        if answer.body and (call is None or call.method != b'HEAD'):
-            parts.append(http.send(h11.Data(data=answer.body)) or b'')
-        parts.append(http.send(h11.EndOfMessage()) or b'')
-        return b''.join(parts)
+
+
+def _id_for_log(call: Call | None) -> dict[str, bytes]:
+    return {'request': call.request_id if call else b''}
 
 
 def _close_lingering(caller: socket.socket) -> None:
@@ -220,7 +284,11 @@
 ) -> None:
     with listener:
         while not stopping.is_set():
-            _accept_next(listener, ingress, tasks)
+            try:
+                _accept_next(listener, ingress, tasks)
+            except Exception:
+                _log.exception('connection not accepted')
+                stopping.wait(ACCEPT_TIMEOUT_SECONDS)
         refuse_new_connections(listener)
         listener.settimeout(0)
         while _accept_next(listener, ingress, tasks):
--- a/basilwall/peer/links.py
+++ b/basilwall/peer/links.py
@@ -171,7 +171,7 @@
         for address in wanted - self._link_by_address.keys():
             link = _Link(address)
             self._link_by_address[address] = link
-            self._tasks.start(partial(self._run_link, link))
+            self._tasks.start_loop(partial(self._run_link, link))
 
     def _addresses_to_link(self) -> set[VmAddress]:
         """Return all peers, or the random partners in a large fleet."""
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -133,7 +133,8 @@
     RELAYED is the answer of another VM, NOT_TAKEN a request that another VM
     relayed to this one, which can't serve it. STOPPING is a request that came
     too late in a planned stop. UNDECIDED is a request whose content has just
-    lost a searcher.
+    lost a searcher. FAILED is one that an unforeseen error of this VM ended
+    before it was sent anywhere.
     """
 
     ANSWERED = 'answered'
@@ -153,6 +154,7 @@
     RELAYED = 'relayed'
     NOT_TAKEN = 'not_taken'
     STOPPING = 'stopping'
+    FAILED = 'failed'
 
 
 @dataclass(frozen=True, slots=True)
