Say between VMs who made an answer and whether its request may have run

A VM that relays took a searcher's own 404, passed on by a VM with an older manifest, for 'this VM has no such route' and asked the next VM.

Cause: what an answer says was guessed from its status. Now a VM says beside each relayed answer who made it (a searcher or the VM) and whether the request may have run, by a table of verdicts; nothing infers 'not run' from a status. Another VM is asked only if the first one says that it made the answer and has not run the request, or that it did not take it. A searcher can't speak for a VM: headers of that name in its answer are dropped.

Looked at: Forwarder keeps its own test of statuses for a request that it sent itself; the statuses there are those of a VM that says 'not run'. basilwall serve forwards orders by gRPC with typed outcomes already. Attempts at searchers take 'not run' from Not-Executed and 421 only.

The cases of a searcher's 404 fail on the code before. A property test draws three VMs that answer anything, lose requests or are of an older build: a request runs at one at most, and none that has run is called not run. The test of a 404 by an older table says now that the VM made it; the case without a word is a test of its own.

--- a/basilwall/forwarding/answers.py
+++ b/basilwall/forwarding/answers.py
@@ -167,4 +167,5 @@
         reply.body,
         reply.reason,
         reply.headers,
+        searcher=reply.searcher,
     )
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -29,7 +29,9 @@
 from basilwall.records.forwarding import Answer, Call, Verdict
 from basilwall.records.ids import NO_ROUTE, ServiceName
 from basilwall.records.routes import RetrySafety, Route, RouteTable
+from basilwall.records.searcher import SearcherProcess, process_of
 from basilwall.relaying.relay import Relay, RelayRequest
+from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.weighted_round_robin import WeightedRoundRobin
 
 HTTP_NOT_FOUND = 404
@@ -99,6 +101,7 @@
             table_version=table.version if table else 0,
             waited_until=trail.waited_until,
             route=route.name if route else NO_ROUTE,
+            process=_process_of(answer, self._context.routing_state),
         )
 
     def failure(self, *, may_have_run: bool) -> Answer:
@@ -316,6 +319,16 @@
         execution.close(caller_left=False)
 
 
+def _process_of(
+    answer: Answer, routing_state: RoutingState
+) -> SearcherProcess | None:
+    """Return the process of the searcher whose answer it is, if one."""
+    if answer.searcher is None:
+        return None
+    searcher = routing_state.all_searchers().get(answer.searcher)
+    return process_of(searcher) if searcher else None
+
+
 def _completion_policy(
     call: Call, route: Route, return_seconds: float
 ) -> CompletionPolicy:
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from basilwall.records.ids import NO_ROUTE, RouteName, SearcherId
+from basilwall.records.searcher import SearcherProcess
 
 #: Names and values of headers in their order on the wire.
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -165,7 +166,8 @@
     `table_version` is that of the route table that it follows, 0 for none.
     `waited_until` is when its request stopped waiting for searchers, in
     monotonic seconds, None if it did not wait. `route` is empty if there was
-    none.
+    none. `searcher` is the one whose answer it is, None if it is not that of a
+    single one, and `process` its process.
     """
 
     verdict: Verdict
@@ -178,4 +180,6 @@
     table_version: int = 0
     waited_until: float | None = None
     route: RouteName = NO_ROUTE
+    searcher: SearcherId | None = None
+    process: SearcherProcess | None = None
     signatures: tuple[bytes, ...] = field(default=())
--- a/basilwall/records/searcher.py
+++ b/basilwall/records/searcher.py
@@ -29,6 +29,25 @@
     started_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class SearcherProcess:
+    """One process of a searcher, as VMs tell each other of it.
+
+    `started_ms` is 0 if the searcher does not say when it started.
+    """
+
+    searcher_id: SearcherId
+    address: SearcherAddress
+    started_ms: int
+
+
+def process_of(searcher: Searcher) -> SearcherProcess:
+    """Return the process of a listed searcher."""
+    return SearcherProcess(
+        searcher.searcher_id, searcher.address, searcher.started_ms
+    )
+
+
 def is_same_process(current: Searcher | None, previous: Searcher) -> bool:
     """Return whether two entries of one id are of the same process.
 
--- a/basilwall/relaying/codec.py
+++ b/basilwall/relaying/codec.py
@@ -1,7 +1,8 @@
 """Codecs of requests that VMs relay to each other.
 
 They have the platform's form, with headers of our own: the version of the
-route table, and whether the asked VM did not take the request.
+route table, whether the asked VM did not take the request, who made the answer
+and whether the request may have run.
 """
 
 from dataclasses import replace
@@ -18,7 +19,16 @@
     ReplyHead,
     Verdict,
 )
-from basilwall.records.ids import SearcherId
+from basilwall.records.ids import SearcherAddress, SearcherId
+from basilwall.records.searcher import SearcherProcess
+from basilwall.relaying.provenance import (
+    UNKNOWN_PROVENANCE,
+    AnswerOrigin,
+    Provenance,
+    provenance_of,
+)
+
+_PROCESS_FIELDS = 3
 
 # Of a request: the oldest version of the route table that may serve it. Of an
 # answer: the version by which it was served.
@@ -27,7 +37,23 @@
 NOT_TAKEN = b'basilwall-not-taken'
 # Of a request: how many searchers of each service may get it.
 MAX_ATTEMPTS = b'basilwall-max-attempts'
-_OWN_HEADERS = frozenset((TABLE_VERSION, NOT_TAKEN, MAX_ATTEMPTS))
+# Of an answer: who made it, as `AnswerOrigin`.
+ANSWERED_BY = b'basilwall-answered-by'
+# Of an answer: "0" if the request has not run and will not, else "1".
+MAY_HAVE_RUN = b'basilwall-may-have-run'
+# Of a searcher's answer: its id, its address and when its process started, in
+# milliseconds since the epoch, separated by spaces.
+SEARCHER_PROCESS = b'basilwall-searcher-process'
+_OWN_HEADERS = frozenset(
+    (
+        TABLE_VERSION,
+        NOT_TAKEN,
+        MAX_ATTEMPTS,
+        ANSWERED_BY,
+        MAY_HAVE_RUN,
+        SEARCHER_PROCESS,
+    )
+)
 
 
 class RelayCodec(AttemptCodec):
@@ -69,6 +95,28 @@
         """Return the version by which a request was served, 0 if not given."""
         return _number(_own_header(reply.headers, TABLE_VERSION))
 
+    def provenance(self, reply: Reply) -> Provenance:
+        """Return what the VM says of its answer."""
+        may_have_run = _own_header(reply.headers, MAY_HAVE_RUN)
+        try:
+            origin = AnswerOrigin(
+                _own_header(reply.headers, ANSWERED_BY).decode('latin-1')
+            )
+        except ValueError:
+            return UNKNOWN_PROVENANCE
+        return Provenance(origin, may_have_run=may_have_run != b'0')
+
+    def searcher_process(self, reply: Reply) -> SearcherProcess | None:
+        """Return the process whose answer it is, if the VM says so."""
+        text = _own_header(reply.headers, SEARCHER_PROCESS).decode('latin-1')
+        fields = text.split(' ')
+        if len(fields) != _PROCESS_FIELDS or not fields[-1].isdigit():
+            return None
+        searcher_id, address, started_ms = fields
+        return SearcherProcess(
+            SearcherId(searcher_id), SearcherAddress(address), int(started_ms)
+        )
+
     def caller_headers(self, reply: Reply) -> RawHeaders:
         """Return the headers that are meant for the caller."""
         return _without_own(reply.headers)
@@ -106,12 +154,27 @@
     ) -> list[tuple[bytes, bytes]]:
         """Return the headers of an answer without those of the framing."""
         headers = self._codec.encode_headers(call, answer)
-        headers.append((TABLE_VERSION, b'%d' % answer.table_version))
+        # A searcher must not speak for this VM.
+        headers = list(_without_own(tuple(headers)))
+        provenance = provenance_of(answer.verdict)
+        headers += [
+            (TABLE_VERSION, b'%d' % answer.table_version),
+            (ANSWERED_BY, provenance.origin.value.encode()),
+            (MAY_HAVE_RUN, b'%d' % provenance.may_have_run),
+        ]
         if answer.verdict is Verdict.NOT_TAKEN:
             headers.append((NOT_TAKEN, b'1'))
+        if answer.process is not None:
+            headers.append((SEARCHER_PROCESS, _encode_process(answer.process)))
         return headers
 
 
+def _encode_process(process: SearcherProcess) -> bytes:
+    return (
+        f'{process.searcher_id} {process.address} {process.started_ms}'
+    ).encode('latin-1', 'replace')
+
+
 def _own_header(headers: RawHeaders, name: bytes) -> bytes:
     """Return the last header of a name, empty if there is none."""
     found = [text for key, text in headers if key.lower() == name]
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -12,6 +12,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
+from basilwall.forwarding.answers import NOT_RUN_STATUSES
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.reporting import Step, Trail
 from basilwall.forwarding.socket_attempt import SocketAttempt
@@ -25,12 +26,15 @@
     LossReason,
     Lost,
     Reply,
+    Unsent,
     Verdict,
 )
 from basilwall.records.ids import SearcherId, ServiceName
+from basilwall.records.searcher import SearcherProcess
 from basilwall.relaying.codec import RelayCodec
 from basilwall.relaying.connections import RelayConnections
 from basilwall.relaying.peers import RelayPeers
+from basilwall.relaying.provenance import AnswerOrigin
 
 #: VMs that are asked to serve one request.
 MAX_VMS = 4
@@ -45,6 +49,13 @@
 NO_SERVICE = ServiceName('')
 
 
+RecordAnnouncements = Callable[[SearcherProcess, Reply, float], None]
+
+
+def _ignore_announcements(*_: object) -> None:
+    """Ignore what a searcher says of itself."""
+
+
 def _never() -> float:
     return math.inf
 
@@ -69,9 +80,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayResult:
-    """The answer of another VM, None if none gave one.
+    """The answer of another VM, None if none gave one that can be passed on.
 
-    `may_have_run` is True if the request was sent to a VM that did not answer.
+    `may_have_run` is True if the request was sent to a VM that did not answer,
+    or did not say that the request has not run.
     """
 
     answer: Answer | None
@@ -103,6 +115,9 @@
         """
         #: Newest version of the route table by which a caller was served here.
         self.seen_version = 0
+        #: Called with what a searcher says of itself in an answer that is
+        #: passed on: its process, the answer, and when it was asked for.
+        self.record_announcements: RecordAnnouncements = _ignore_announcements
         self._peers = peers
         self._connections = connections
         self._codec = codec
@@ -137,9 +152,11 @@
         for peer in self._peers.candidates(self._rng)[:MAX_VMS]:
             if self._clock.monotonic() >= min(latest, self._stops_at()):
                 break
+            asked_at = self._clock.monotonic()
             outcome = self._ask(request, peer, waiter)
-            answer = self._answer(outcome, request.known_version)
-            event = 'relayed' if answer else _describe(outcome)
+            relayed = self._evaluate(outcome, request.known_version, asked_at)
+            is_answered = relayed is not None and relayed.answer is not None
+            event = 'relayed' if is_answered else _describe(outcome)
             trail.add(
                 Step(
                     self._clock.monotonic() - request.call.received_at,
@@ -148,12 +165,10 @@
                     event,
                 )
             )
-            if answer is not None:
-                return RelayResult(answer)
-            self._peers.avoid(peer)
-            # It may have reached as many searchers as its route allows.
-            if isinstance(outcome, Lost):
-                return RelayResult(None, may_have_run=True)
+            if not is_answered:
+                self._peers.avoid(peer)
+            if relayed is not None:
+                return relayed
         return RelayResult(None)
 
     def _ask(
@@ -224,25 +239,43 @@
                 connection, may_keep=attempt.may_keep_connection
             )
 
-    def _answer(
-        self, outcome: AttemptResult, known_version: int
-    ) -> Answer | None:
-        if not isinstance(outcome, Reply):
-            return None
-        if self._codec.is_not_taken(outcome):
+    def _evaluate(
+        self, outcome: AttemptResult, known_version: int, asked_at: float
+    ) -> RelayResult | None:
+        """Return what a VM's answer comes to, None to ask another VM."""
+        if isinstance(outcome, Lost):
+            # It may have reached as many searchers as its route allows.
+            return RelayResult(None, may_have_run=True)
+        if isinstance(outcome, Unsent) or self._codec.is_not_taken(outcome):
             return None
+        provenance = self._codec.provenance(outcome)
         version = self._codec.table_version(outcome)
-        if outcome.status == HTTP_NOT_FOUND and version < known_version:
+        is_older = outcome.status == HTTP_NOT_FOUND and version < known_version
+        is_of_vm = provenance.origin is not AnswerOrigin.SEARCHER
+        if is_older and is_of_vm and not outcome.signature:
+            if provenance.may_have_run:
+                return RelayResult(None, may_have_run=True)
             return None
+        if provenance.may_have_run and outcome.status in NOT_RUN_STATUSES:
+            return RelayResult(None, may_have_run=True)
+        self._learn(outcome, asked_at)
         self.note_version(version)
-        return Answer(
-            Verdict.RELAYED,
-            outcome.status,
-            outcome.body,
-            outcome.reason,
-            self._codec.caller_headers(outcome),
+        return RelayResult(
+            Answer(
+                Verdict.RELAYED,
+                outcome.status,
+                outcome.body,
+                outcome.reason,
+                self._codec.caller_headers(outcome),
+            )
         )
 
+    def _learn(self, reply: Reply, asked_at: float) -> None:
+        """Learn what the searcher says of itself in an answer."""
+        process = self._codec.searcher_process(reply)
+        if process is not None:
+            self.record_announcements(process, reply, asked_at)
+
 
 def _describe(outcome: AttemptResult) -> str:
     if isinstance(outcome, Reply):
--- a/basilwall/relaying/relay_test.py
+++ b/basilwall/relaying/relay_test.py
@@ -5,14 +5,26 @@
 import threading
 from contextlib import contextmanager
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilwall.forwarding.answers import NOT_RUN_STATUSES
 from basilwall.forwarding.reporting import Trail
 from basilwall.forwarding.socket_waiter import SocketWaiter
 from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import SystemClock
 from basilwall.parts.membership import Member, Membership
 from basilwall.platform.codec import HeaderCodec
-from basilwall.records.forwarding import Call
-from basilwall.relaying.codec import RelayCodec
+from basilwall.records.forwarding import Call, LossReason, Lost, Reply, Unsent
+from basilwall.records.ids import SearcherId
+from basilwall.records.searcher import SearcherProcess
+from basilwall.relaying.codec import (
+    ANSWERED_BY,
+    MAY_HAVE_RUN,
+    TABLE_VERSION,
+    RelayCodec,
+)
 from basilwall.relaying.connections import RelayConnections
 from basilwall.relaying.peers import RelayPeers
 from basilwall.relaying.relay import Relay, RelayRequest
@@ -125,11 +137,120 @@
         assert b'basilwall-table-version: 7' in seen[0][-1].lower()
 
 
+def says(origin, may_have_run):
+    return b'Basilwall-Answered-By: %b\r\nBasilwall-May-Have-Run: %d\r\n' % (
+        origin,
+        may_have_run,
+    )
+
+
+VM_NOT_RUN = says(b'vm', may_have_run=False)
+OF_SEARCHER = says(b'searcher', may_have_run=True)
+SIGNED = b'Server-Stamp: s\r\n'
+
+
 def test_a_route_that_an_older_table_lacks_is_asked_for_elsewhere():
-    with relay_to(answer(404, 6), answer(200, 7)) as (relay, _):
+    with relay_to(answer(404, 6, VM_NOT_RUN), answer(200, 7)) as (relay, _):
         assert serve(relay, known_version=7).answer.status == 200
 
 
+@pytest.mark.parametrize('more', [OF_SEARCHER, OF_SEARCHER + SIGNED, SIGNED])
+def test_a_not_found_of_a_searcher_does_not_run_the_request_at_another_vm(more):
+    with relay_to(answer(404, 6, more), answer(200, 7)) as (relay, seen):
+        assert serve(relay, known_version=7).answer.status == 404
+        assert sum(map(len, seen)) == 1
+
+
+def test_an_older_build_says_nothing_so_its_not_found_may_have_run():
+    with relay_to(answer(404, 6), answer(200, 7)) as (relay, seen):
+        result = serve(relay, known_version=7)
+        assert result.answer is None
+        assert result.may_have_run
+        assert sum(map(len, seen)) == 1
+
+
+VERSIONS = st.integers(min_value=0, max_value=3)
+STATUSES = st.one_of(
+    st.sampled_from([200, 404, 408, 421, 429, 503]),
+    st.integers(min_value=200, max_value=599),
+)
+
+
+class Outcomes:
+    """VMs that answer in any way; counts at how many the request ran."""
+
+    def __init__(self, outcomes):
+        self._outcomes = list(outcomes)
+        self.runs = 0
+
+    def ask(self, *_):
+        kind, status, version, is_old_build = self._outcomes.pop(0)
+        self.runs += kind in {'lost', 'searcher'}
+        if kind == 'lost':
+            return Lost(SearcherId('vm'), LossReason.CUT)
+        if kind == 'unsent':
+            return Unsent(SearcherId('vm'), LossReason.NOT_CONNECTED)
+        headers = [(TABLE_VERSION, b'%d' % version)]
+        if not is_old_build:
+            has_run = kind == 'searcher'
+            origin = b'searcher' if has_run else b'vm'
+            headers.append((ANSWERED_BY, origin))
+            headers.append((MAY_HAVE_RUN, b'%d' % has_run))
+        signature = b's' if kind == 'searcher' else b''
+        return Reply(
+            SearcherId('vm'),
+            status,
+            b'',
+            tuple(headers),
+            b'',
+            signature,
+            has_run=True,
+        )
+
+
+@given(
+    outcomes=st.lists(
+        st.tuples(
+            st.sampled_from(['lost', 'unsent', 'searcher', 'vm']),
+            STATUSES,
+            VERSIONS,
+            st.booleans(),
+        ),
+        min_size=3,
+        max_size=3,
+    ),
+    known_version=VERSIONS,
+)
+def test_a_request_runs_at_one_vm_at_most_and_is_truly_called_not_run(
+    outcomes, known_version
+):
+    with relay_to(CLOSES, CLOSES, CLOSES) as (relay, _):
+        vms = Outcomes(outcomes)
+        relay._ask = vms.ask
+        result = serve(relay, known_version)
+    assert vms.runs <= 1
+    promises_not_run = (
+        result.answer.status in NOT_RUN_STATUSES
+        if result.answer
+        else not result.may_have_run
+    )
+    assert not (promises_not_run and vms.runs)
+
+
+def test_what_a_searcher_announces_is_learned_from_a_relayed_answer():
+    more = (
+        b'Server-Leaving: 1\r\n'
+        b'Basilwall-Searcher-Process: i-1 10.0.0.1:80 7\r\n'
+    )
+    learned = []
+    with relay_to(answer(200, 1, OF_SEARCHER + more)) as (relay, _):
+        relay.record_announcements = lambda *said: learned.append(said)
+        serve(relay)
+    ((process, reply, _),) = learned
+    assert process == SearcherProcess('i-1', '10.0.0.1:80', 7)
+    assert reply.is_leaving
+
+
 def test_a_route_that_a_current_table_lacks_is_not_found():
     with relay_to(answer(404, 7), answer(200, 7)) as (relay, _):
         assert serve(relay, known_version=7).answer.status == 404
