Learn what searchers announce from relayed answers, and tell other VMs who leaves

Cause: what searchers announce was learned from own attempts only. Now a VM learns it from the answers that it passes on, of the process that the other VM names, and VMs tell each other in gossip which processes leave: at most 64, for 30 s from the searcher's word on, and only until the store itself lists the process as leaving. One that is not reported within half a second is pushed once. A process that starts at the same address is another one. An attempt that waited for its connection isn't sent to a searcher that has asked for a rest meanwhile; before, only leaving and being gone were looked at.

Cost: nothing while the store reports.

Tests: announcements of the listed process and of another one, odd ages, bounds, a new process at the address of one that leaves, a notice that comes before the entry.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -30,6 +30,8 @@
 from basilwall.relaying.connections import RelayConnections
 from basilwall.relaying.peers import RelayPeers
 from basilwall.relaying.relay import Relay
+from basilwall.routing.announcements import Announcements
+from basilwall.routing.leaving_processes import LeavingProcesses
 from basilwall.routing.location import RoundTripTimes
 from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.routing_state import RoutingState
@@ -103,13 +105,16 @@
     )
     fleet.gossip.messages.rate_limit_notices = selector.rate_limit_notices
     fleet.gossip.messages.apply_rate_limit = selector.apply_rate_limit
+    announcements = Announcements(routing_state, selector)
+    fleet.gossip.messages.leaving_notices = routing_state.leaving.notices
+    fleet.gossip.messages.apply_leaving = announcements.apply_leaving
     routing_state.subscribe(pools.drop_unlisted)
     routing_state.subscribe(selector.forget_unlisted)
     crash_detector = _build_crash_detector(
         routing_state, fleet, round_trips, links, clock, rng
     )
     transport = SocketTransport(
-        routing_state,
+        announcements.may_send,
         pools,
         codec,
         links,
@@ -139,6 +144,7 @@
         rng,
         lambda: stop_state.ends_at,
     )
+    relay.record_announcements = announcements.record_relayed
     tasks.start_loop(partial(transport.superseded.run, tasks.stopping))
     tasks.start_loop(partial(links.run, tasks.stopping))
     tasks.start_loop(
@@ -148,6 +154,7 @@
             retry_policy,
             current,
             fleet,
+            routing_state.leaving,
         )
     )
     callers = Ingress(
@@ -222,6 +229,7 @@
     retry_policy: RetryPolicy,
     current: CurrentSettings,
     fleet: Fleet,
+    leaving: LeavingProcesses,
 ) -> None:
     while not fleet.tasks.stopping.wait(HOUSEKEEPING_INTERVAL_SECONDS):
         for close in close_idle:
@@ -230,3 +238,5 @@
             fleet.membership.update_seeds(current.value.seeds)
         fleet.update_size()
         retry_policy.update_fleet_size()
+        if leaving.take_new_notices():
+            fleet.gossip.push_to_peers()
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -11,6 +11,13 @@
 
 import msgspec
 
+from basilwall.fleet.leaving_messages import (
+    WireLeaving,
+    decode_leaving,
+    encode_leaving,
+    ignore_leaving,
+    no_leaving_notices,
+)
 from basilwall.fleet.rate_limit_messages import (
     WireLimit,
     decode_notice,
@@ -30,6 +37,7 @@
 )
 from basilwall.records.rate_limit import RateLimitNotice
 from basilwall.records.strike import Evidence, Strike
+from basilwall.routing.leaving_processes import LeavingNotice
 
 #: Most members and most quarantined contents in one message.
 MAX_MEMBERS = 24
@@ -78,6 +86,7 @@
     # Revision up to which the sender knows all changes of the store.
     revision: int = 0
     limits: tuple[WireLimit, ...] = ()
+    leaving: tuple[WireLeaving, ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(_GossipMessage)
@@ -124,6 +133,14 @@
         self.apply_rate_limit: Callable[[RateLimitNotice], None] = (
             _ignore_notice
         )
+        #: Returns the leaving searchers that the platform doesn't report yet.
+        self.leaving_notices: Callable[[], Sequence[LeavingNotice]] = (
+            no_leaving_notices
+        )
+        #: Called with the leaving searchers that another VM knows of.
+        self.apply_leaving: Callable[[Sequence[LeavingNotice]], None] = (
+            ignore_leaving
+        )
         self._rng = rng
 
     def encode(self) -> bytes:
@@ -145,6 +162,7 @@
             tuple(contents),
             self.own_revision(),
             tuple(map(encode_notice, self.rate_limit_notices())),
+            tuple(map(encode_leaving, self.leaving_notices())),
         )
         return msgspec.msgpack.encode(decoded)
 
@@ -168,6 +186,7 @@
             self._apply_content(content)
         for limit in decoded.limits[:MAX_LIMITS]:
             self.apply_rate_limit(decode_notice(limit))
+        self.apply_leaving(tuple(map(decode_leaving, decoded.leaving)))
         self.record_peer_revision(
             VmAddress(decoded.sender.address), decoded.revision
         )
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -1,6 +1,7 @@
 """Carries attempts to searchers over pooled connections."""
 
 import socket
+from collections.abc import Callable
 from functools import partial
 
 from basilwall.forwarding.codec import AttemptCodec
@@ -14,7 +15,6 @@
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import Call
 from basilwall.records.searcher import Searcher
-from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.searcher_links import SearcherLinks
 
 
@@ -23,7 +23,7 @@
 
     def __init__(
         self,
-        routing_state: RoutingState,
+        may_send: Callable[[Searcher], bool],
         pools: ConnectionPools[SearcherConnection],
         codec: AttemptCodec,
         links: SearcherLinks,
@@ -33,7 +33,7 @@
     ) -> None:
         self.superseded = superseded
         superseded.release_connection = self.release_connection
-        self._routing_state = routing_state
+        self._may_send = may_send
         self._pools = pools
         self._codec = codec
         self._links = links
@@ -55,7 +55,7 @@
             self._codec,
             self._clock,
             deadline,
-            partial(self._routing_state.is_usable, searcher),
+            partial(self._may_send, searcher),
             self._memory,
         )
 
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -18,7 +18,11 @@
 from basilwall.records.catalogue import PublishedValue
 from basilwall.records.ids import SearcherAddress, SearcherId, ServiceName
 from basilwall.records.routes import RouteTable
-from basilwall.records.searcher import Searcher, is_same_process
+from basilwall.records.searcher import (
+    Searcher,
+    SearcherProcess,
+    process_of,
+)
 from basilwall.routing.leaving_processes import LeavingProcesses
 
 #: Live searchers are listed again this soon after an outage of the platform.
@@ -76,7 +80,8 @@
         self._searchers_by_id: Mapping[SearcherId, Searcher] = MappingProxyType(
             {}
         )
-        self._leaving = LeavingProcesses()
+        #: The processes that have said that they leave.
+        self.leaving = LeavingProcesses(clock)
         self._listeners: list[Callable[[], None]] = []
         self._lock = threading.RLock()
 
@@ -133,15 +138,21 @@
         """Return all listed searchers, including leaving ones."""
         return self._searchers_by_id
 
-    def record_leaving(self, searcher: Searcher) -> None:
-        """Record that a searcher said in a reply that it is leaving."""
+    def record_leaving(self, process: SearcherProcess, age: float = 0) -> None:
+        """Record that a process said in a reply that it is leaving.
+
+        Args:
+            process: The process.
+            age: How long ago it said so, in seconds; another VM may have been
+                told.
+        """
         with self._lock:
-            if not self._leaving.add(searcher):
+            if not self.leaving.add(process):
                 return
+            self.leaving.note_unreported(process, age)
             self._searchers_by_key = {
                 key: replace(listed, is_leaving=True)
-                if is_same_process(listed, searcher)
-                and listed.searcher_id == searcher.searcher_id
+                if process_of(listed) == process
                 else listed
                 for key, listed in self._searchers_by_key.items()
             }
@@ -149,8 +160,9 @@
         _log.info(
             'searcher says that it leaves',
             extra={
-                'searcher': searcher.searcher_id,
-                'service': searcher.service,
+                'searcher': process.searcher_id,
+                'started_ms': process.started_ms,
+                'age': round(age, 2),
             },
         )
 
@@ -199,8 +211,9 @@
             return ''
         previous = self._searchers_by_key.get(key)
         if searcher.is_leaving:
-            self._leaving.add(searcher)
-        elif searcher.started_ms and searcher in self._leaving:
+            self.leaving.add(process_of(searcher))
+            self.leaving.note_reported(process_of(searcher))
+        elif searcher.started_ms and searcher in self.leaving:
             return 'older than the report that this process leaves'
         self._searchers_by_key[key] = searcher
         self._hold_ends_by_key.pop(key, None)
--- a/basilwall/routing/routing_state_test.py
+++ b/basilwall/routing/routing_state_test.py
@@ -12,6 +12,7 @@
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.platform.codec import StoreValueReader
 from basilwall.records.catalogue import PublishedValue
+from basilwall.records.searcher import process_of
 from basilwall.routing.routing_state import (
     LAPSED_ENTRY_RETURN_SECONDS,
     RoutingState,
@@ -134,7 +135,7 @@
     routing_state, publish, _ = setup
     publish(1, 'servers/i-1', entry())
     (searcher,) = routing_state.searchers('s')
-    routing_state.record_leaving(searcher)
+    routing_state.record_leaving(process_of(searcher))
     assert not ids(routing_state)
     assert not routing_state.is_usable(searcher)
     publish(2, 'servers/i-1', b'')
@@ -197,3 +198,39 @@
     publish(2, 'servers/i-1', entry(born=9, address='10.0.0.3:80'))
     (searcher,) = routing_state.searchers('s')
     assert (searcher.started_ms, searcher.address) == (9, '10.0.0.3:80')
+
+
+def test_vms_tell_of_a_process_only_until_the_store_reports_it(
+    setup,
+):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry())
+    (searcher,) = routing_state.searchers('s')
+    routing_state.record_leaving(process_of(searcher))
+    assert routing_state.leaving.take_new_notices()
+    assert not routing_state.leaving.take_new_notices()
+    (notice,) = routing_state.leaving.notices()
+    assert notice.process == process_of(searcher)
+    publish(2, 'servers/i-1', entry(state='draining'))
+    assert not routing_state.leaving.notices()
+
+
+def test_a_process_that_starts_at_the_address_of_a_leaving_one_gets_work(setup):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry(born=1))
+    (searcher,) = routing_state.searchers('s')
+    routing_state.record_leaving(process_of(searcher))
+    publish(2, 'servers/i-1', entry(born=1))
+    assert not ids(routing_state)
+    publish(3, 'servers/i-1', entry(born=2))
+    assert ids(routing_state)
+
+
+def test_a_notice_that_comes_before_the_searcher_is_listed_is_kept(setup):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry(born=1))
+    (searcher,) = routing_state.searchers('s')
+    publish(2, 'servers/i-1', b'')
+    routing_state.record_leaving(process_of(searcher), age=1.0)
+    publish(3, 'servers/i-1', entry(born=1))
+    assert not ids(routing_state)
--- a/basilwall/routing/selection.py
+++ b/basilwall/routing/selection.py
@@ -17,7 +17,11 @@
 from basilwall.records.forwarding import Reply
 from basilwall.records.ids import SearcherId, ServiceName
 from basilwall.records.rate_limit import RateLimitNotice
-from basilwall.records.searcher import Searcher, is_same_process
+from basilwall.records.searcher import (
+    Searcher,
+    is_same_process,
+    process_of,
+)
 from basilwall.routing.location import RoundTripTimes
 from basilwall.routing.rate_limiter import RateLimiter
 from basilwall.routing.routing_state import RoutingState
@@ -179,7 +183,7 @@
         """
         self._rate_limits.record_reply(searcher, reply, sent_at)
         if reply.is_leaving:
-            self._routing_state.record_leaving(searcher)
+            self._routing_state.record_leaving(process_of(searcher))
         if reply.rest_seconds is not None:
             rest_until = self._clock.monotonic() + reply.rest_seconds
             self._last_rest_until = max(self._last_rest_until, rest_until)
--- a/bench/entry_parts.py
+++ b/bench/entry_parts.py
@@ -152,7 +152,7 @@
     detector = NoCrashDetector()
     links = SearcherLinks(state.addresses, clock, rng, lambda *_: set())
     transport = SocketTransport(
-        state,
+        state.is_usable,
         pools,
         HeaderCodec(),
         links,
