Say that a VM is ready only once it accepts callers

Cause: the addresses for readiness were served first, and the route table may be there by then. Callers' addresses are bound first now. The test connects as readiness begins to be served; it failed before.

--- a/basilwall/entry_vm.py
+++ b/basilwall/entry_vm.py
@@ -121,8 +121,7 @@
                 CHANGES_PATH: store_access.changes.answer,
             },
         }
-        for address, endpoints in endpoints_by_address.items():
-            stack.enter_context(endpoint_server(address, endpoints))
+        # First, so that a VM that says that it is ready accepts callers.
         acceptors = tuple(
             stack.enter_context(ingress_server(*served, tasks))
             for served in (
@@ -130,6 +129,8 @@
                 (serving.vms, settings.relay_address),
             )
         )
+        for address, endpoints in endpoints_by_address.items():
+            stack.enter_context(endpoint_server(address, endpoints))
         stack.callback(tasks.stopping.set)
         yield EntryVm(
             current,
--- a/tests/start_signals_test.py
+++ b/tests/start_signals_test.py
@@ -3,18 +3,21 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
 
 import pytest
 
+from basilwall import entry_vm
 from basilwall.standin.metadata_store import MetadataStore
 from basilwall.standin.ports import reserved_ports
 from tests.entry_stage import (
     HOST,
     is_ready,
     node_file,
+    staged,
     table,
     wait_until,
 )
@@ -120,3 +123,21 @@
         assert vm.process.returncode == 0
     finally:
         vm.end()
+
+
+def test_a_vm_that_says_that_it_is_ready_accepts_callers(monkeypatch, tmp_path):
+    refused = []
+    serve_endpoints = entry_vm.endpoint_server
+
+    def connect_first(address, endpoints):
+        settings = json.loads((tmp_path / 'node.json').read_text())
+        host, _, port = settings['listen']['front'].rpartition(':')
+        try:
+            socket.create_connection((host, int(port))).close()
+        except ConnectionRefusedError:
+            refused.append(address)
+        return serve_endpoints(address, endpoints)
+
+    monkeypatch.setattr(entry_vm, 'endpoint_server', connect_first)
+    with staged(tmp_path):
+        assert not refused
