--- a/review/stage.py
+++ b/review/stage.py
@@ -300,7 +300,7 @@
         deps = ROOT / 'target' / 'deps'
         self.starts += 1
         self.process = subprocess.Popen(
-            ['python3', '-m', 'basilwall.entry'],
+            [sys.executable, '-m', 'basilwall.entry'],
             cwd=ROOT,
             env={
                 **os.environ,
