--- a/tests/operations_test.py
+++ b/tests/operations_test.py
@@ -111,7 +111,8 @@
         *folder.glob('forwarding/*.py'),
         *folder.glob('routing/*.py'),
         *folder.glob('fleet/*.py'),
-        folder / 'entry.py',
+        *folder.glob('configuration/*.py'),
+        folder / 'entry_vm.py',
     ]
     source = '\n'.join(module.read_text() for module in modules)
     told = set(re.findall(r"_log\.info\(\s*'([^']+)'", source))
