--- a/basilwall/ingress/reading_test.py
+++ b/basilwall/ingress/reading_test.py
@@ -20,6 +20,8 @@
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 #: Shorter than `FIRST_REQUEST_SECONDS`.
 DELAY_SECONDS = 0.1
+#: The end of a request, which reaches into its head if its body is short.
+SECOND_PART_BYTES = 20
 
 
 @pytest.fixture
@@ -106,7 +108,10 @@
 
     def raise_and_send():
         limits.current = CallerLimits(**{name: higher})
-        caller.sendall(request_bytes)
+        # The limit of a head is that of one which has come in part.
+        caller.sendall(request_bytes[:-SECOND_PART_BYTES])
+        time.sleep(DELAY_SECONDS)
+        caller.sendall(request_bytes[-SECOND_PART_BYTES:])
 
     threading.Timer(DELAY_SECONDS, raise_and_send).start()
     assert isinstance(reader.next_request(), CompleteRequest)
