Free what a request held as soon as it has ended

What callers saw: VMs that were sent bytes without end grew to 884 and 1,324 MB, far over their 300, on which the platform kills them, and with them the requests of all others.

Cause: reference cycles. The parser of a reply and the collector of its messages refer to each other, and so do the execution of a request and its canary. Each ended request, with all that was read for it, stayed until the cyclic collector came by, which counts objects and not bytes. Evidence: with that collector off, forty requests left 1,816 to 7,600 objects, and 261,322 with heads without end; none are left with this change. Also: an attempt that was closed because 256 others wait already never released its counted bytes.

Looked at as well: relays (closed at each end now), requests that are refused, timed out, cut, invalid, whose caller left.

--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -15,6 +15,7 @@
 from basilwall.forwarding.extra_attempt_canary import (
     NO_SEARCHER,
     ExtraAttemptCanary,
+    retry_nothing,
 )
 from basilwall.forwarding.hedge_preparation import (
     PREPARATION_RATIO,
@@ -160,6 +161,8 @@
         """
         for attempt in tuple(self._in_flight):
             self._release(attempt, is_cancelled=caller_left)
+        # It refers to this execution in turn.
+        self._canary.retry = retry_nothing
 
     def _try_first(self, first_attempts: FirstAttempts) -> FirstAttempts:
         """Send a content that may crash searchers to one of them only.
--- a/basilwall/forwarding/extra_attempt_canary.py
+++ b/basilwall/forwarding/extra_attempt_canary.py
@@ -26,6 +26,11 @@
 NO_SEARCHER = SearcherId('')
 
 
+def retry_nothing(_: SubRequest) -> bool:
+    """Refuse a further attempt, as the request has ended."""
+    return False
+
+
 class _State(Enum):
     """What is known of the content from the attempts of this request."""
 
@@ -64,7 +69,8 @@
                 nothing is held back if not.
         """
         self.late_at = math.inf
-        self._retry = retry
+        #: Sends a further attempt; replaced once the request has ended.
+        self.retry = retry
         self._in_flight = in_flight
         self._least_struck = least_struck
         self._add_step = add_step
@@ -166,7 +172,7 @@
             self._retry_or_end(subrequest)
 
     def _retry_or_end(self, subrequest: SubRequest) -> None:
-        if not self._retry(subrequest):
+        if not self.retry(subrequest):
             subrequest.has_ended = True
 
     def _take_held(self) -> list[SubRequest]:
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -187,11 +187,11 @@
             call, route, self._subrequests(route), self._context, waiter, trail
         )
         needed = min_subrequests(route)
-        if not execution.admit(needed):
-            return self._answers.unservable(
-                Verdict.NO_SEARCHER, execution.subrequests, needed
-            )
         with _release_at_exit(execution):
+            if not execution.admit(needed):
+                return self._answers.unservable(
+                    Verdict.NO_SEARCHER, execution.subrequests, needed
+                )
             return_seconds = self._context.return_times.of(route.name).expected
             execution.run(_completion_policy(call, route, return_seconds))
             trail.waited_until = self._context.clock.monotonic()
--- a/basilwall/forwarding/reply_reader.py
+++ b/basilwall/forwarding/reply_reader.py
@@ -108,6 +108,7 @@
 
     def close(self) -> None:
         """Release the memory of the reply; it may be called twice."""
+        self._messages.close()
         self._memory.release(self._reserved)
         self._reserved = 0
 
@@ -188,12 +189,18 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_size = 0
         self._chunks: list[bytes] = []
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
+
+    def close(self) -> None:
+        """Drop the parser, which refers to this collector in turn."""
+        self._parser = None
 
     def feed(self, chunk: bytes) -> str:
         """Parse bytes and return the parse error, or an empty text."""
         try:
-            self._parser.feed_data(chunk)
+            self._active_parser.feed_data(chunk)
         except PARSER_ERRORS as error:
             return str(error) or 'not an HTTP response'
         return ''
@@ -224,7 +231,7 @@
 
     def on_headers_complete(self) -> None:
         """Build the head from its status line and headers."""
-        status = self._parser.get_status_code()
+        status = self._active_parser.get_status_code()
         self.head = ReplyHead(status, self._reason, tuple(self._headers))
 
     def on_body(self, chunk: bytes) -> None:
@@ -235,11 +242,17 @@
         """Store the complete message."""
         self.is_in_message = False
         if self.head is not None:
-            is_keep_alive = self._parser.should_keep_alive()
+            is_keep_alive = self._active_parser.should_keep_alive()
             self.complete.append(
                 _CompleteMessage(self.head, self.body(), is_keep_alive)
             )
 
+    @property
+    def _active_parser(self) -> httptools.HttpResponseParser:
+        if self._parser is None:
+            raise InvalidReplyError('the reply has ended')
+        return self._parser
+
 
 def _is_framed(head: ReplyHead) -> bool:
     """Return whether a length or chunked coding delimits the body."""
--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -120,6 +120,12 @@
         """End the attempt; its connection can not be reused."""
         return self._failed(reason, 'cancelled')
 
+    def close(self) -> None:
+        """Release what a reply holds that is no longer read."""
+        if self._reader is not None:
+            self._reader.close()
+            self._reader = None
+
     def _advance(self) -> AttemptResult | None:
         if self.stage is Stage.CONNECTING:
             if not self.connection.is_connected:
@@ -134,7 +140,7 @@
 
     def _failed(self, reason: LossReason, detail: str) -> AttemptResult:
         self.may_keep_connection = False
-        self._release_memory()
+        self.close()
         if self.is_sent:
             return Lost(self.searcher.searcher_id, reason, detail)
         if self.stage is Stage.CONNECTING:
@@ -182,12 +188,8 @@
                 return self._finish(reply)
         return None
 
-    def _release_memory(self) -> None:
-        if self._reader is not None:
-            self._reader.close()
-
     def _finish(self, reply: CompleteReply) -> AttemptResult:
-        self._release_memory()
+        self.close()
         is_request_sent = not (self._unsent or self._is_send_interrupted)
         self.may_keep_connection = (
             reply.may_reuse_connection and is_request_sent
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -65,6 +65,7 @@
 
     def release_connection(self, attempt: SocketAttempt) -> None:
         """Return the connection of an ended attempt to its pool or close it."""
+        attempt.close()
         if attempt.connection.connect_seconds is not None:
             self._links.record_connected()
         if attempt.outcome is not None:
--- a/basilwall/forwarding/superseded.py
+++ b/basilwall/forwarding/superseded.py
@@ -151,4 +151,5 @@
 
 def _close_connection(attempt: SocketAttempt) -> None:
     """Close a connection; replaced once there is a pool of connections."""
+    attempt.close()
     attempt.connection.close()
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -235,9 +235,15 @@
             yield
         finally:
             waiter.remove(attempt)
-            self._connections.release(
-                connection, may_keep=attempt.may_keep_connection
-            )
+            self._release(attempt, connection)
+
+    def _release(
+        self, attempt: SocketAttempt, connection: SearcherConnection
+    ) -> None:
+        attempt.close()
+        self._connections.release(
+            connection, may_keep=attempt.may_keep_connection
+        )
 
     def _evaluate(
         self, outcome: AttemptResult, known_version: int, asked_at: float
