Count what replies occupy until their callers have them, and give large buffers back

What callers saw: a searcher that sends a body without end took a VM of 300 MB to 884 MB, chunks of two bytes to 1,324 and 1,947 MB; 150 callers that don't read their answers of 4 MB took one to 1,424 MB. The platform kills such a process, and all its requests with it.

Causes, each seen alone: - Bytes were counted as they came on the wire; as a list of pieces, two bytes cost eight times as much. Heads, skipped messages and what the parser keeps were not counted. - Counting ended when a reply was complete, not when its caller had it. - The allocator keeps freed buffers in a heap for each of many threads. With counting mended, "body" still grew by 305 MB; with two heaps and pages of their own for large buffers by 26 to 32 MB. - An attempt read on for as long as its socket had bytes, so deadlines were not checked: 16 callers of endless chunks got no answer in 10 s (their deadline is 1.5 s).

Now one buffer holds the body, of its announced size if there is one; other messages and trailers are not kept; an account counts all of it until the answer is sent. The memory is shared by service, a quarter is left for small replies, and a reply whose size is known waits for room, the most urgent first. A caller that reads nothing for 10 s, or for 1 s while others wait, is given up with a log line. A body is not copied for each attempt.

Ruled out: waiting for room with replies of unknown size, as several that are half read could wait for each other; they are ended, with a log line and a metric.

--- a/basilwall/cli.py
+++ b/basilwall/cli.py
@@ -23,6 +23,7 @@
     fetch_status,
 )
 from basilwall.operators.status_table import print_status
+from basilwall.parts.allocator import return_freed_buffers
 from basilwall.parts.stop_signals import set_on_stop_signals
 from basilwall.platform.node import read_node_file
 from basilwall.settings.current import SettingsError
@@ -57,6 +58,7 @@
     """Run one VM until SIGTERM, then stop without cutting off a request."""
     stop_requested, skip_balancer_wait = threading.Event(), threading.Event()
     set_on_stop_signals(stop_requested, skip_balancer_wait)
+    return_freed_buffers()
     try:
         loaded = load_settings(settings)
         set_up_logs(loaded.log_level)
--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -17,12 +17,13 @@
 from basilwall.forwarding.context import ForwardingContext
 from basilwall.forwarding.crash_detection import ProbingCrashDetector
 from basilwall.forwarding.forwarder import Forwarder
+from basilwall.forwarding.reply_memory import ReplyMemory
 from basilwall.forwarding.reporting import RequestReporter
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_transport import SocketTransport
 from basilwall.forwarding.superseded import SupersededAttempts
+from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.server import Ingress, StopState
-from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.routes import CallerLimits
@@ -47,7 +48,7 @@
 #: Upper bound of the headers that a VM adds to a request that it relays.
 RELAY_HEADER_BYTES = 512
 BYTES_PER_MB = 1_000_000
-#: Share of this VM's memory for replies that are being read.
+#: Share of this VM's memory for replies, until their callers have them.
 REPLY_MEMORY_RATIO = 0.2
 HOUSEKEEPING_INTERVAL_SECONDS = 0.5
 
@@ -60,7 +61,7 @@
     vms: Ingress
     rate_limiter: RateLimiter
     links: SearcherLinks
-    reply_memory: ByteBudget
+    reply_memory: ReplyMemory
 
 
 def build_serving(
@@ -84,8 +85,8 @@
     settings, tasks, codec = current.value, fleet.tasks, HeaderCodec()
     rate_limiter = RateLimiter(clock, rng, fleet.size, routing_state.searchers)
     links = SearcherLinks(routing_state.addresses, clock, rng, find_dead)
-    memory = ByteBudget(
-        int(settings.memory_mb * BYTES_PER_MB * REPLY_MEMORY_RATIO)
+    memory = ReplyMemory(
+        int(settings.memory_mb * BYTES_PER_MB * REPLY_MEMORY_RATIO), clock
     )
     round_trips = RoundTripTimes(settings.place)
     pools = ConnectionPools(
@@ -163,6 +164,7 @@
         partial(_caller_limits, routing_state),
         clock,
         _max_connections(settings),
+        AnswerSender(clock, memory.is_awaited),
         stop_state,
     )
     vms = replace(
--- a/basilwall/entry_vm.py
+++ b/basilwall/entry_vm.py
@@ -311,9 +311,14 @@
     )
     add(
         'reply_memory_bytes',
-        'Memory of large replies that are being read.',
+        'Memory of replies, until their callers have them.',
         lambda: serving.reply_memory.used,
     )
+    add(
+        'replies_too_large',
+        'Replies that were ended for their size since the start.',
+        lambda: serving.reply_memory.rejected,
+    )
     add(
         'searcher_reply_age_seconds',
         'Time since a searcher last replied.',
--- a/basilwall/forwarding/codec.py
+++ b/basilwall/forwarding/codec.py
@@ -16,7 +16,7 @@
         searcher: SearcherId,
         time_left: float,
     ) -> bytes:
-        """Return the bytes of one attempt.
+        """Return the head of one attempt; the body of the call follows it.
 
         Args:
             call: The caller's request.
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -182,6 +182,7 @@
         caller: socket.socket | None,
         trail: Trail,
     ) -> Answer:
+        call = replace(call, rank=route.priority)
         waiter = self._context.transport.make_waiter(caller)
         execution = RequestExecution(
             call, route, self._subrequests(route), self._context, waiter, trail
--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -11,15 +11,17 @@
 
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.forwarding.connection import SearcherConnection
+from basilwall.forwarding.reply_memory import ReplyMemory
+from basilwall.forwarding.reply_messages import InvalidReplyError
 from basilwall.forwarding.reply_reader import (
     CompleteReply,
     IncompleteReplyError,
-    InvalidReplyError,
     ReplyReader,
+    ReplyTooLargeError,
 )
 from basilwall.forwarding.transport import Attempt
-from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
+from basilwall.parts.memory_budget import MemoryAccount
 from basilwall.records.forwarding import (
     AttemptResult,
     Call,
@@ -28,7 +30,10 @@
     Unsent,
 )
 
-READ_BYTES = 65_536
+#: A longer body is sent after the head, and not copied behind it.
+MAX_COPIED_BYTES = 16_384
+#: After as many reads, deadlines are checked and other attempts have a turn.
+MAX_READS_AT_ONCE = 4
 
 
 class SendCancelledError(OSError):
@@ -58,7 +63,7 @@
         clock: Clock,
         deadline: float,
         may_send: Callable[[], bool],
-        memory: ByteBudget,
+        memory: ReplyMemory,
     ) -> None:
         """Prepare an attempt.
 
@@ -70,7 +75,7 @@
             deadline: Nothing is sent after this time, in monotonic seconds.
             may_send: Called right before the first byte is sent, because the
                 searcher may have left while the connection was being opened.
-            memory: Limits the bytes of all replies that are being read.
+            memory: Limits what all replies occupy together.
         """
         self._may_send = may_send
         self._memory = memory
@@ -88,7 +93,9 @@
         self._deadline = deadline
         self._unsent = memoryview(b'')
         self._is_send_interrupted = False
+        self._unsent_body = memoryview(b'')
         self._reader: ReplyReader | None = None
+        self._account: MemoryAccount | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -100,6 +107,11 @@
         """True while the attempt waits for the socket to become writable."""
         return self.stage is not Stage.READING
 
+    @property
+    def is_waiting_for_room(self) -> bool:
+        """True while nothing is read, as there is no room for the reply."""
+        return self._reader is not None and self._reader.is_waiting
+
     def advance(self) -> AttemptResult | None:
         """Make as much progress as the socket allows without blocking.
 
@@ -113,6 +125,7 @@
         except (OSError, IncompleteReplyError) as error:
             self.outcome = self._failed(LossReason.CUT, str(error))
         except InvalidReplyError as error:
+            self._note_too_large(error)
             self.outcome = self._failed(LossReason.SPOILED, str(error))
         return self.outcome
 
@@ -122,9 +135,11 @@
 
     def close(self) -> None:
         """Release what a reply holds that is no longer read."""
-        if self._reader is not None:
-            self._reader.close()
-            self._reader = None
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.close()
+        self._unsent = memoryview(b'')
+        self._unsent_body = self._unsent
 
     def _advance(self) -> AttemptResult | None:
         if self.stage is Stage.CONNECTING:
@@ -138,6 +153,12 @@
             self._send()
         return self._read()
 
+    def _note_too_large(self, error: InvalidReplyError) -> None:
+        if isinstance(error, ReplyTooLargeError) and self._reader:
+            self._memory.note_rejected(
+                self.searcher.searcher_id, self._reader.size, str(error)
+            )
+
     def _failed(self, reason: LossReason, detail: str) -> AttemptResult:
         self.may_keep_connection = False
         self.close()
@@ -154,15 +175,21 @@
             raise SendCancelledError(
                 errno.ECANCELED, 'deadline passed, or searcher leaving'
             )
+        self._account = self._memory.account(self.call, self.searcher.service)
         self._reader = ReplyReader(
             self.call.method,
             partial(self._codec.is_reply_to, self.call),
-            self._memory,
+            self._account,
         )
-        encoded = self._codec.encode_attempt(
-            self.call, self.searcher.searcher_id, time_left
+        encoded, body = (
+            self._codec.encode_attempt(
+                self.call, self.searcher.searcher_id, time_left
+            ),
+            self.call.body,
         )
-        self._unsent = memoryview(encoded)
+        if len(body) <= MAX_COPIED_BYTES:
+            encoded, body = b''.join((encoded, body)), b''
+        self._unsent, self._unsent_body = memoryview(encoded), memoryview(body)
         self.stage = Stage.SENDING
 
     def _send(self) -> None:
@@ -172,6 +199,9 @@
             while self._unsent:
                 sent_bytes = self.connection.socket.send(self._unsent)
                 self._unsent = self._unsent[sent_bytes:]
+                if not self._unsent:
+                    self._unsent = self._unsent_body
+                    self._unsent_body = self._unsent[:0]
         except BlockingIOError:
             return
         except OSError:
@@ -182,15 +212,23 @@
 
     def _read(self) -> AttemptResult | None:
         reader = self._reader
-        while reader is not None:
-            reply = reader.feed(self.connection.socket.recv(READ_BYTES))
+        if reader is None or (reader.is_waiting and not reader.find_room()):
+            return None
+        for _ in range(MAX_READS_AT_ONCE):
+            if reader.is_waiting:
+                break
+            received = self.connection.socket.recv(reader.next_read_bytes)
+            reply = reader.feed(received)
             if reply is not None:
                 return self._finish(reply)
         return None
 
     def _finish(self, reply: CompleteReply) -> AttemptResult:
-        self.close()
         is_request_sent = not (self._unsent or self._is_send_interrupted)
+        self._reader = None
+        if self._account is not None:
+            self.call.held_replies.add(self._account)
+        self.close()
         self.may_keep_connection = (
             reply.may_reuse_connection and is_request_sent
         )
--- a/basilwall/forwarding/socket_transport.py
+++ b/basilwall/forwarding/socket_transport.py
@@ -7,11 +7,11 @@
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.connection_pools import ConnectionPools
+from basilwall.forwarding.reply_memory import ReplyMemory
 from basilwall.forwarding.socket_attempt import SocketAttempt
 from basilwall.forwarding.socket_waiter import SocketWaiter
 from basilwall.forwarding.superseded import SupersededAttempts
 from basilwall.forwarding.transport import Transport
-from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.records.forwarding import Call
 from basilwall.records.searcher import Searcher
@@ -27,7 +27,7 @@
         pools: ConnectionPools[SearcherConnection],
         codec: AttemptCodec,
         links: SearcherLinks,
-        memory: ByteBudget,
+        memory: ReplyMemory,
         superseded: SupersededAttempts,
         clock: Clock,
     ) -> None:
--- a/basilwall/forwarding/superseded.py
+++ b/basilwall/forwarding/superseded.py
@@ -90,7 +90,8 @@
             attempt_number: Its number in the statistics of its searcher.
         """
         is_full = len(self._numbers_by_attempt) >= MAX_SUPERSEDED_ATTEMPTS
-        if is_full or not attempt.is_sent:
+        is_waiting = attempt.is_waiting_for_room
+        if is_full or is_waiting or not attempt.is_sent:
             self._close(attempt, attempt_number)
             return
         self._new_attempts.put((attempt, attempt_number))
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -22,8 +22,10 @@
     CompleteRequest,
     RequestReader,
 )
+from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.transfer import transfer_seconds
 from basilwall.parts.clock import Clock
+from basilwall.parts.held_replies import HeldReplies
 from basilwall.parts.listening_sockets import refuse_new_connections
 from basilwall.parts.tasks import TaskGroup
 from basilwall.records.forwarding import Answer, Call, Verdict
@@ -32,8 +34,6 @@
 BACKLOG = 1024
 #: How often the accepting task checks whether to stop.
 ACCEPT_TIMEOUT_SECONDS = 0.5
-#: The connection is closed if the caller does not read its answer in this time.
-WRITE_TIMEOUT_SECONDS = 10.0
 #: Limits on the time and size of what is read after the last answer.
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 16_777_216
@@ -68,6 +68,7 @@
     limits: Callable[[], CallerLimits]
     clock: Clock
     max_connections: int
+    sender: AnswerSender
     stop_state: StopState = field(default_factory=StopState)
     connections: set[socket.socket] = field(default_factory=set)
 
@@ -86,7 +87,6 @@
             _close_lingering(caller)
 
     def _serve_requests(self, caller: socket.socket) -> None:
-        caller.settimeout(WRITE_TIMEOUT_SECONDS)
         caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = RequestReader(
             caller,
@@ -99,18 +99,24 @@
             if isinstance(request, BadRequest):
                 self._reject(caller, reader.http, request)
                 return
-            call, answer = self._answer(
-                caller, request, is_first_request=not number
-            )
-            if answer.verdict is Verdict.CALLER_LEFT:
-                return
-            if not self._send(caller, reader.http, call, answer):
-                return
+            with _held_replies() as held_replies:
+                call, answer = self._answer(
+                    caller,
+                    request,
+                    held_replies,
+                    is_first_request=not number,
+                )
+                if answer.verdict is Verdict.CALLER_LEFT:
+                    return
+                held_replies.keep_only(len(answer.body))
+                if not self._send(caller, reader.http, call, answer):
+                    return
 
     def _answer(
         self,
         caller: socket.socket,
         request: CompleteRequest,
+        held_replies: HeldReplies,
         *,
         is_first_request: bool,
     ) -> tuple[Call | None, Answer]:
@@ -125,7 +131,9 @@
         except Exception:
             _log.exception('request not decoded')
             return None, self.forwarder.failure(may_have_run=False)
-        call = replace(call, transfer_seconds=transfer)
+        call = replace(
+            call, transfer_seconds=transfer, held_replies=held_replies
+        )
         try:
             return call, self.forwarder.serve(call, caller)
         except Exception:
@@ -141,7 +149,9 @@
     ) -> bool:
         """Send an answer; False if the connection must be closed."""
         stays_open = not self.stop_state.is_stopping
-        caller.sendall(self._encode(http, call, answer, keep_alive=stays_open))
+        self.sender.send(
+            caller, self._encode(http, call, answer, keep_alive=stays_open)
+        )
         try:
             self.forwarder.record_sent(answer)
         except Exception:
@@ -160,7 +170,9 @@
         )
         if http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             answer = Answer(Verdict.MALFORMED, request.status)
-            caller.sendall(self._encode(http, None, answer, keep_alive=False))
+            self.sender.send(
+                caller, self._encode(http, None, answer, keep_alive=False)
+            )
 
     def _encode(
         self,
@@ -169,13 +181,13 @@
         answer: Answer,
         *,
         keep_alive: bool,
-    ) -> bytes:
+    ) -> list[bytes]:
         head, body = self._encode_head_safely(call, answer, keep_alive)
         parts = [http.send(head) or b'']
         if body and (call is None or call.method != b'HEAD'):
             parts.append(http.send(h11.Data(data=body)) or b'')
         parts.append(http.send(h11.EndOfMessage()) or b'')
-        return b''.join(parts)
+        return parts
 
     def _encode_head_safely(
         self, call: Call | None, answer: Answer, keep_alive: bool
@@ -209,6 +221,16 @@
         )
 
 
+@contextmanager
+def _held_replies() -> Iterator[HeldReplies]:
+    """Count the replies that a request holds until the end of the block."""
+    held_replies = HeldReplies()
+    try:
+        yield held_replies
+    finally:
+        held_replies.close()
+
+
 def _id_for_log(call: Call | None) -> dict[str, bytes]:
     return {'request': call.request_id if call else b''}
 
--- a/basilwall/ingress/vm.py
+++ b/basilwall/ingress/vm.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from basilwall.fleet.entry_fleet import Fleet
+from basilwall.forwarding.reply_memory import ReplyMemory
 from basilwall.ingress.server import Acceptor, Ingress
-from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import Clock
 from basilwall.routing.routing_state import RoutingState
 from basilwall.settings.current import CurrentSettings
@@ -40,7 +40,7 @@
     ingress: Ingress
     acceptors: tuple[Acceptor, ...]
     fleet: Fleet
-    reply_memory: ByteBudget
+    reply_memory: ReplyMemory
     clock: Clock
 
     def stop(self) -> bool:
--- a/basilwall/platform/codec.py
+++ b/basilwall/platform/codec.py
@@ -21,7 +21,7 @@
         searcher: SearcherId,
         time_left: float,
     ) -> bytes:
-        """Encode one attempt; `time_left` is in seconds."""
+        """Encode the head of one attempt; `time_left` is in seconds."""
         return headers.encode_attempt(call, searcher, time_left)
 
     def is_reply_to(self, call: Call, head: ReplyHead) -> bool:
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -98,7 +98,7 @@
     searcher: SearcherId,
     time_left: float,
 ) -> bytes:
-    """Return the bytes of one attempt.
+    """Return the head of one attempt.
 
     Nothing is escaped here: the head was validated by the parser of the
     caller's request, the searcher's id by the decoder of its entry.
@@ -117,7 +117,7 @@
         attempt_headers = (
             f'{attempt_headers}Content-Length: {len(call.body)}\r\n'
         )
-    return b''.join((call.head, attempt_headers.encode(), b'\r\n', call.body))
+    return b''.join((call.head, attempt_headers.encode(), b'\r\n'))
 
 
 def is_reply_to(request_id: bytes, head: ReplyHead) -> bool:
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from basilwall.parts.held_replies import HeldReplies
 from basilwall.records.ids import NO_ROUTE, RouteName, SearcherId
 from basilwall.records.searcher import SearcherProcess
 
@@ -23,7 +24,8 @@
     of `min_table_version` or newer may then serve it. `max_attempts` limits the
     searchers of each service that get it, None if only the route does.
     `transfer_seconds` is how long the request and its answer are on their way
-    between the caller and this VM.
+    between the caller and this VM. `rank` is that of its route, 0 for the most
+    urgent. `held_replies` counts the replies that are kept for it.
     """
 
     method: bytes
@@ -38,6 +40,10 @@
     min_table_version: int = 0
     max_attempts: int | None = None
     transfer_seconds: float = 0.01
+    rank: int = 0
+    held_replies: HeldReplies = field(
+        default_factory=HeldReplies, compare=False, repr=False
+    )
 
     @property
     def path(self) -> bytes:
--- a/basilwall/relaying/codec.py
+++ b/basilwall/relaying/codec.py
@@ -66,7 +66,7 @@
     def encode_attempt(
         self, call: Call, searcher: SearcherId, time_left: float
     ) -> bytes:
-        """Encode a relayed request; `time_left` is in seconds."""
+        """Encode the head of a relayed request; `time_left` is in seconds."""
         lines = [b'%b: %d\r\n' % (TABLE_VERSION, call.min_table_version)]
         if call.max_attempts is not None:
             lines.append(b'%b: %d\r\n' % (MAX_ATTEMPTS, call.max_attempts))
--- a/basilwall/relaying/connections.py
+++ b/basilwall/relaying/connections.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 
 from basilwall.forwarding.connection import SearcherConnection
-from basilwall.parts.byte_budget import ByteBudget
+from basilwall.forwarding.reply_memory import ReplyMemory
 from basilwall.parts.clock import Clock
 from basilwall.parts.membership import Member
 from basilwall.records.ids import SearcherAddress, SearcherId, ServiceName
@@ -17,8 +17,8 @@
 class RelayConnections:
     """The idle connections to other VMs."""
 
-    def __init__(self, clock: Clock, memory: ByteBudget) -> None:
-        #: Limits the bytes of all answers that are being read.
+    def __init__(self, clock: Clock, memory: ReplyMemory) -> None:
+        #: Limits what all answers occupy together.
         self.memory = memory
         self._clock = clock
         self._idle_by_address: defaultdict[
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -49,6 +49,9 @@
     UNAVAILABLE: Answers with 503, without `Not-Executed`.
     ENDLESS_HEAD: Sends headers until the client closes the connection.
     ENDLESS_BODY: Sends a body until the client closes the connection.
+    ENDLESS_LENGTH: Announces and sends a body of 10^12 bytes.
+    ENDLESS_CHUNKS: Sends chunks of two bytes until the client closes.
+    ENDLESS_TRAILERS: Sends trailers until the client closes the connection.
     CRASH: Stops listening and resets all connections.
     """
 
@@ -66,6 +69,9 @@
     UNAVAILABLE = 'unavailable'
     ENDLESS_HEAD = 'endless_head'
     ENDLESS_BODY = 'endless_body'
+    ENDLESS_LENGTH = 'endless_length'
+    ENDLESS_CHUNKS = 'endless_chunks'
+    ENDLESS_TRAILERS = 'endless_trailers'
     CRASH = 'crash'
 
 
@@ -73,6 +79,9 @@
 _CLOSING_BEHAVIOURS = frozenset(
     (Behaviour.CUT_SHORT, Behaviour.CUT_HEAD, Behaviour.UNFRAMED)
 )
+_CHUNKED_HEAD = (
+    b'HTTP/1.1 200 OK\r\nServer-Stamp: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 #: What is sent first, and then again and again.
 _ENDLESS_BY_BEHAVIOUR = MappingProxyType(
     {
@@ -84,6 +93,19 @@
             b'HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n\r\n',
             b'more' * ENDLESS_REPEATS,
         ),
+        Behaviour.ENDLESS_LENGTH: (
+            b'HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n'
+            b'Content-Length: 1000000000000\r\n\r\n',
+            b'more' * ENDLESS_REPEATS,
+        ),
+        Behaviour.ENDLESS_CHUNKS: (
+            _CHUNKED_HEAD,
+            b'2\r\nmm\r\n' * ENDLESS_REPEATS,
+        ),
+        Behaviour.ENDLESS_TRAILERS: (
+            b''.join((_CHUNKED_HEAD, b'1\r\nm\r\n0\r\n')),
+            b'X-More: more\r\n' * ENDLESS_REPEATS,
+        ),
     }
 )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,11 @@
     Behaviour.UNAVAILABLE,
 )
 LATER_BEHAVIOURS = (Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY)
+ENDLESS_BEHAVIOURS = (
+    Behaviour.ENDLESS_LENGTH,
+    Behaviour.ENDLESS_CHUNKS,
+    Behaviour.ENDLESS_TRAILERS,
+)
 #: Limits that searchers name, in requests per second.
 RATE_LIMITS = (0, 0.5, 5, 40)
 #: The time that the platform gives a process to stop gracefully.
@@ -52,9 +57,14 @@
 
     FIRST = 'first'
     WITH_RESTORES = 'with_restores'
+    WITH_LIMITS = 'with_limits'
     ALL = 'all'
 
 
+#: These draw what searchers announce, too, and crashing contents.
+LATER_FAULT_SETS = frozenset((FaultSet.WITH_LIMITS, FaultSet.ALL))
+
+
 @dataclass
 class Event:
     """One action, for the log of a seed; `at` in seconds since the start."""
@@ -88,13 +98,15 @@
             self._disrupt_searcher_connections,
             self._change_searcher_behaviour,
             self._change_searcher_behaviour,
-            *([self._limit_searcher] if fault_set is FaultSet.ALL else ()),
+            *([self._limit_searcher] if fault_set in LATER_FAULT_SETS else ()),
             self._compact_store_history,
             *(() if fault_set is FaultSet.FIRST else [self._restore_store]),
         ]
         self._behaviours = FAULTY_BEHAVIOURS
-        if fault_set is FaultSet.ALL:
+        if fault_set in LATER_FAULT_SETS:
             self._behaviours += LATER_BEHAVIOURS
+        if fault_set is FaultSet.ALL:
+            self._behaviours += ENDLESS_BEHAVIOURS
         self._actions: list[Callable] = planned
         if not planned_only:
             self._actions = planned + unplanned
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from soak.checks import RouteTableProbe, find_violations
 from soak.crashes import CrashingCaller
 from soak.deployment import running_deployment
-from soak.faults import FaultInjector, FaultSet
+from soak.faults import LATER_FAULT_SETS, FaultInjector, FaultSet
 
 CALLER_COUNT = 6
 DEFAULT_VM_COUNT = 3
@@ -66,7 +66,7 @@
         probe = RouteTableProbe(deployment, failures)
         crashing = [
             CrashingCaller(deployment, balancer, seed)
-            for _ in range(seed % 3 == 1 and fault_set is FaultSet.ALL)
+            for _ in range(seed % 3 == 1 and fault_set in LATER_FAULT_SETS)
         ]
         threads = [
             threading.Thread(target=worker.run, args=(stop_requested,))
