Read requests alike however their bytes are cut, with the parser of replies

What callers saw: with max_header_bytes of 8,192, heads of 9,000 to 60,000 bytes were served when they came in one read and refused with 431 in two; after a manifest that lowers the limit, kept connections went on with heads of 20,000 bytes. Bodies within their limit, sent as 120,000 chunks of two bytes by 32 callers, left others 29 answers in 8 s.

Causes: h11 compares its limit only with a head that is not complete, so it depended on how TCP cuts the bytes; and it parses in Python, 1,471 ms of processor time for such a body.

Now the end of a head is found before it is parsed, and its size compared with the limit in force when it began, or a higher one since. Bodies of a known length are refused at once if they are too long. httptools parses heads and chunks, as it does for replies; what follows a chunked body stays for the next request, as bytes are fed up to one empty line after the other. What requests occupy beyond 16 kB is counted in a budget of its own (a tenth of the VM's memory); one that finds no room is refused with 503 and a time.

Changed for callers: a method that is not registered is answered 501, as the parser knows none of them; an offer of another protocol (Upgrade) is ignored as before. The answers' heads are encoded by us and checked by one expression.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -25,6 +25,7 @@
 from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.server import Ingress, StopState
 from basilwall.parts.clock import Clock
+from basilwall.parts.memory_budget import MemoryBudget
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.routes import CallerLimits
 from basilwall.relaying.codec import RelayCodec, RelayedCallerCodec
@@ -50,6 +51,8 @@
 BYTES_PER_MB = 1_000_000
 #: Share of this VM's memory for replies, until their callers have them.
 REPLY_MEMORY_RATIO = 0.2
+#: Share of this VM's memory for large requests, until they are answered.
+REQUEST_MEMORY_RATIO = 0.1
 HOUSEKEEPING_INTERVAL_SECONDS = 0.5
 
 
@@ -165,6 +168,9 @@
         clock,
         _max_connections(settings),
         AnswerSender(clock, memory.is_awaited),
+        MemoryBudget(
+            int(settings.memory_mb * BYTES_PER_MB * REQUEST_MEMORY_RATIO)
+        ),
         stop_state,
     )
     vms = replace(
--- a/basilwall/ingress/answering_test.py
+++ b/basilwall/ingress/answering_test.py
@@ -12,6 +12,7 @@
 from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.server import Ingress
 from basilwall.parts.clock import SystemClock
+from basilwall.parts.memory_budget import MemoryBudget
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.forwarding import Answer, Verdict
 from basilwall.records.routes import CallerLimits
@@ -63,7 +64,8 @@
     """Send requests on one connection and return the answers."""
     clock = SystemClock()
     sender = AnswerSender(clock, bool)
-    ingress = Ingress(forwarder, codec, CallerLimits, clock, 9, sender)
+    memory = MemoryBudget(1_000_000)
+    ingress = Ingress(forwarder, codec, CallerLimits, clock, 9, sender, memory)
     with socket.create_server(('127.0.0.1', 0)) as listener:
         caller = socket.create_connection(listener.getsockname())
         vm, _ = listener.accept()
--- a/basilwall/ingress/codec.py
+++ b/basilwall/ingress/codec.py
@@ -2,9 +2,8 @@
 
 from abc import ABC, abstractmethod
 
-import h11
-
 from basilwall.records.forwarding import Answer, Call
+from basilwall.records.request_head import RequestHead
 
 
 class CallerCodec(ABC):
@@ -12,7 +11,7 @@
 
     @abstractmethod
     def decode_request(
-        self, request: h11.Request, body: bytes, received_at: float
+        self, request: RequestHead, body: bytes, received_at: float
     ) -> Call:
         """Decode a request; `received_at` is in monotonic seconds."""
 
--- a/basilwall/ingress/reading.py
+++ b/basilwall/ingress/reading.py
@@ -1,14 +1,26 @@
-"""Reads requests from a caller's connection within size and time limits."""
+"""Reads requests from a caller's connection within size and time limits.
 
+A request gets the same answer however its bytes are cut on their way: what is
+compared with a limit is the position of a byte in the request.
+"""
+
+import math
 import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
-
-import h11
 
+from basilwall.ingress.head_search import HeadSearch
+from basilwall.ingress.request_parser import (
+    HTTP_TOO_LARGE,
+    ChunkedBodyParser,
+    Framing,
+    UnreadableRequestError,
+    parse_head,
+)
 from basilwall.parts.clock import Clock
+from basilwall.parts.memory_budget import MemoryAccount
+from basilwall.records.request_head import RequestHead
 from basilwall.records.routes import CallerLimits
 
 READ_BYTES = 65_536
@@ -18,41 +30,36 @@
 #: A new connection is not idle before this time, as its request may be under
 #: way; less than a planned stop leaves for the last connections.
 FIRST_REQUEST_SECONDS = 0.4
-HTTP_BAD_REQUEST = 400
+#: What a connection may hold without an account.
+FREE_BYTES = 16_384
+#: When a caller may come back whose request found no room, in seconds.
+RETRY_AFTER_NO_ROOM_SECONDS = 0.5
 HTTP_TIMEOUT = 408
-HTTP_TOO_LARGE = 413
-HTTP_HEADERS_TOO_LARGE = 431
-
-
-def _do_nothing() -> None:
-    """Prepare nothing."""
+HTTP_UNAVAILABLE = 503
+_CONTINUE = b'HTTP/1.1 100 \r\n\r\n'
 
 
 class CallerGoneError(Exception):
     """The connection ended or may be closed, and no request is in progress."""
 
 
-class _UnreadableRequestError(Exception):
-    """The request can't be read; `status` is for the answer."""
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-
-
 @dataclass(frozen=True, slots=True)
 class BadRequest:
-    """A request that can't be read; `status` is for the answer."""
+    """A request that can't be read; `status` is for the answer.
+
+    It has not run. `retry_after` is in seconds, None if a retry would not help.
+    """
 
     status: int
     detail: str
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class CompleteRequest:
     """A request with its body; `head_received_at` is in monotonic seconds."""
 
-    head: h11.Request
+    head: RequestHead
     body: bytes
     head_received_at: float
 
@@ -76,16 +83,20 @@
         self._is_closing = is_closing
         self._poll = select.poll()
         self._poll.register(caller, select.POLLIN)
-        self._head_started_at: float | None = None
         self._received_at = clock.monotonic()
         self._opened_at = self._received_at
-        #: The limits in force when the parser was made.
-        self._parser_limits = limits()
-        self.http = self._new_http()
+        #: What was received of the next request.
+        self._received = b''
 
-    def next_request(self) -> CompleteRequest | BadRequest:
+    def next_request(
+        self, account: MemoryAccount
+    ) -> CompleteRequest | BadRequest:
         """Wait for the next complete request.
 
+        Args:
+            account: Counts what the request occupies; the caller of this method
+                releases it.
+
         Returns:
             The request, or the error if it can't be read.
 
@@ -93,108 +104,113 @@
             CallerGoneError: If the connection ended, or is idle and to be
                 closed.
         """
-        if self.http.our_state is h11.DONE:
-            self._start_next_cycle()
-        try:
-            return self._read_request()
-        except _UnreadableRequestError as error:
-            return BadRequest(error.status, str(error))
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint or HTTP_BAD_REQUEST
-            return BadRequest(status, str(error))
-
-    def _new_http(self) -> h11.Connection:
-        self._parser_limits = self._limits()
-        return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._parser_limits.max_header_bytes,
-        )
-
-    def _start_next_cycle(self) -> None:
-        """Start the next request with bytes already read, under new limits."""
-        unread_bytes, has_ended = self.http.trailing_data
-        self.http = self._new_http()
-        if unread_bytes:
-            self.http.receive_data(unread_bytes)
-        if has_ended:
-            self.http.receive_data(b'')
-
-    def _read_request(self) -> CompleteRequest:
         # Of a pipelined request all bytes may have been read before.
         self._received_at = self._clock.monotonic()
-        head = self._read_head()
+        try:
+            return self._read_request(account)
+        except UnreadableRequestError as error:
+            may_retry = error.status in {HTTP_TIMEOUT, HTTP_UNAVAILABLE}
+            retry_after = RETRY_AFTER_NO_ROOM_SECONDS if may_retry else None
+            return BadRequest(error.status, str(error), retry_after)
+
+    def _read_request(self, account: MemoryAccount) -> CompleteRequest:
+        head_bytes = self._read_head(account)
         # The wait for the head may have been long.
         limits = self._limits()
         head_received_at = self._received_at
-        framing_error = _framing_error(head)
-        if framing_error:
-            raise _UnreadableRequestError(HTTP_BAD_REQUEST, framing_error)
-        if self.http.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
+        head, framing = parse_head(head_bytes)
+        if (framing.length or 0) > limits.max_body_bytes:
+            raise UnreadableRequestError(
+                HTTP_TOO_LARGE,
+                f'the body is longer than {limits.max_body_bytes} bytes',
             )
-            self._caller.sendall(self.http.send(continue_response) or b'')
-        return CompleteRequest(head, self._read_body(limits), head_received_at)
+        if framing.expects and not self._received:
+            self._caller.sendall(_CONTINUE)
+        body = self._read_body(framing, limits, account)
+        return CompleteRequest(head, body, head_received_at)
 
-    def _read_head(self) -> h11.Request:
-        self._head_started_at = None
+    def _read_head(self, account: MemoryAccount) -> bytes:
+        """Return a head, and the empty line that ends it."""
         idle_since = self._clock.monotonic()
         idle_seconds = self._limits().idle_timeout
+        search = HeadSearch()
         while True:
-            event = self.http.next_event()
-            if isinstance(event, h11.Request):
-                return event
-            if event is not h11.NEED_DATA:
-                raise CallerGoneError
             limits = self._limits()
             # The caller may not know yet that the timeout is shorter now.
             idle_seconds = max(idle_seconds, limits.idle_timeout)
-            self._check_head_time(limits, idle_since + idle_seconds)
-            self._receive(self._renew_parser)
+            self._received = search.skip_empty_lines(self._received)
+            if search.has_begun:
+                now = self._clock.monotonic()
+                end = search.find_end(
+                    self._received, limits.max_header_bytes, now
+                )
+                if end:
+                    head_bytes = self._received[:end]
+                    self._received = self._received[end:]
+                    return head_bytes
+                _hold(account, len(self._received))
+            self._check_head_time(
+                limits, search.begun_at, idle_since + idle_seconds
+            )
+            self._receive()
 
-    def _renew_parser(self) -> None:
-        """Read the head under the limits in force, if they have changed."""
-        if self._limits() != self._parser_limits:
-            self._start_next_cycle()
+    def _read_body(
+        self, framing: Framing, limits: CallerLimits, account: MemoryAccount
+    ) -> bytes:
+        if framing.length is None:
+            return self._read_chunks(limits, account)
+        length = framing.length
+        _hold(account, length)
+        parts = [self._take(length)]
+        left = length - len(parts[0])
+        while left:
+            self._receive_more(limits)
+            parts.append(self._take(left))
+            left -= len(parts[-1])
+        return b''.join(parts)
+
+    def _take(self, size: int) -> bytes:
+        """Return received bytes, `size` at most, and keep the others."""
+        taken, self._received = self._received[:size], self._received[size:]
+        return taken
+
+    def _read_chunks(
+        self, limits: CallerLimits, account: MemoryAccount
+    ) -> bytes:
+        parser = ChunkedBodyParser(limits.max_body_bytes)
+        try:
+            while True:
+                self._received = parser.feed(self._received)
+                if parser.is_complete:
+                    return bytes(parser.body)
+                _hold(account, len(parser.body))
+                self._receive_more(limits)
+        finally:
+            parser.close()
+
+    def _receive_more(self, limits: CallerLimits) -> None:
+        """Wait for the next part of a body.
 
-    def _read_body(self, limits: CallerLimits) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            ends_at = self._clock.monotonic() + limits.header_timeout
-            event = self._next_event(partial(self._check_body_time, ends_at))
-            if isinstance(event, h11.EndOfMessage):
-                return b''.join(chunks)
-            if not isinstance(event, h11.Data):
-                raise CallerGoneError
-            chunks.append(bytes(event.data))
-            size += len(event.data)
-            if size > limits.max_body_bytes:
-                raise _UnreadableRequestError(
-                    HTTP_TOO_LARGE,
-                    f'the body is longer than {limits.max_body_bytes} bytes',
+        Raises:
+            UnreadableRequestError: If none comes in time.
+        """
+        ends_at = self._clock.monotonic() + limits.header_timeout
+        while not self._receive():
+            if self._clock.monotonic() > ends_at:
+                raise UnreadableRequestError(
+                    HTTP_TIMEOUT, 'no further part of the body came in time'
                 )
 
-    def _next_event(self, check: Callable[[], None]) -> object:
-        """Wait for the next event; `check` raises at the time limit."""
-        while True:
-            event = self.http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            check()
-            self._receive()
-
-    def _check_head_time(self, limits: CallerLimits, idle_until: float) -> None:
+    def _check_head_time(
+        self, limits: CallerLimits, begun_at: float, idle_until: float
+    ) -> None:
         now = self._clock.monotonic()
-        if self._head_started_at is None and self.http.trailing_data[0]:
-            self._head_started_at = now
-        if self._head_started_at is not None:
-            if now - self._head_started_at > limits.header_timeout:
-                raise _UnreadableRequestError(
-                    HTTP_TIMEOUT,
-                    f'the head took longer than {limits.header_timeout} s',
-                )
-        elif self._may_close(now, idle_until):
+        if now - begun_at > limits.header_timeout:
+            raise UnreadableRequestError(
+                HTTP_TIMEOUT,
+                f'the head took longer than {limits.header_timeout} s',
+            )
+        if math.isinf(begun_at) and self._may_close(now, idle_until):
             raise CallerGoneError
 
     def _may_close(self, now: float, idle_until: float) -> bool:
@@ -204,37 +220,38 @@
         # A request may have arrived since the last read.
         return is_due and not self._poll.poll(0)
 
-    def _check_body_time(self, ends_at: float) -> None:
-        if self._clock.monotonic() > ends_at:
-            raise _UnreadableRequestError(
-                HTTP_TIMEOUT, 'no further part of the body came in time'
-            )
-
-    def _receive(self, prepare: Callable[[], None] = _do_nothing) -> None:
+    def _receive(self) -> bool:
         """Read the caller's bytes, waiting at most `MAX_WAIT_SECONDS`.
 
-        Args:
-            prepare: Called once there are any, before they are parsed.
+        Returns:
+            False if none came.
+
+        Raises:
+            CallerGoneError: If the connection ended.
         """
         if not self._poll.poll(MAX_WAIT_SECONDS * MS_PER_SECOND):
-            return
+            return False
         # Parsing takes time of its own, which counts for the caller.
         self._received_at = self._clock.monotonic()
-        prepare()
         try:
-            self.http.receive_data(self._caller.recv(READ_BYTES))
+            received = self._caller.recv(READ_BYTES)
         except BlockingIOError:
-            return
+            return False
         except OSError as error:
             raise CallerGoneError(str(error)) from error
+        if not received:
+            raise CallerGoneError('connection closed')
+        self._received += received
+        return True
+
 
+def _hold(account: MemoryAccount, size: int) -> None:
+    """Count what a request occupies.
 
-def _framing_error(head: h11.Request) -> str:
-    """Return the error in the framing or the target, or an empty string."""
-    names = [name for name, _ in head.headers]
-    lengths = names.count(b'content-length')
-    if b'transfer-encoding' in names and lengths:
-        return 'both Content-Length and Transfer-Encoding are given'
-    if not head.target.startswith(b'/'):
-        return 'the request target is not a path'
-    return ''
+    Raises:
+        UnreadableRequestError: If there is no room for it.
+    """
+    if size > FREE_BYTES and not account.resize(size):
+        raise UnreadableRequestError(
+            HTTP_UNAVAILABLE, 'no room for the request'
+        )
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -9,12 +9,10 @@
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field, replace
 from functools import partial
-from http import HTTPStatus
 from threading import Event
 
-import h11
-
 from basilwall.forwarding.forwarder import Forwarder
+from basilwall.ingress.answer_encoding import encode_head, has_body
 from basilwall.ingress.codec import CallerCodec
 from basilwall.ingress.reading import (
     BadRequest,
@@ -27,8 +25,10 @@
 from basilwall.parts.clock import Clock
 from basilwall.parts.held_replies import HeldReplies
 from basilwall.parts.listening_sockets import refuse_new_connections
+from basilwall.parts.memory_budget import MemoryAccount, MemoryBudget
 from basilwall.parts.tasks import TaskGroup
 from basilwall.records.forwarding import Answer, Call, Verdict
+from basilwall.records.request_head import RequestHead
 from basilwall.records.routes import CallerLimits
 
 BACKLOG = 1024
@@ -39,11 +39,6 @@
 LINGER_BYTES = 16_777_216
 READ_BYTES = 65_536
 
-#: Other statuses have no phrase.
-_PHRASE_BY_STATUS = {
-    status.value: status.phrase.encode() for status in HTTPStatus
-}
-
 _log = logging.getLogger(__name__)
 
 
@@ -69,6 +64,7 @@
     clock: Clock
     max_connections: int
     sender: AnswerSender
+    request_memory: MemoryBudget
     stop_state: StopState = field(default_factory=StopState)
     connections: set[socket.socket] = field(default_factory=set)
 
@@ -95,22 +91,33 @@
             lambda: self.stop_state.is_closing_idle,
         )
         for number in itertools.count():
-            request = reader.next_request()
-            if isinstance(request, BadRequest):
-                self._reject(caller, reader.http, request)
+            is_first = not number
+            if not self._serve_next(caller, reader, is_first_request=is_first):
                 return
-            with _held_replies() as held_replies:
-                call, answer = self._answer(
-                    caller,
-                    request,
-                    held_replies,
-                    is_first_request=not number,
-                )
-                if answer.verdict is Verdict.CALLER_LEFT:
-                    return
-                held_replies.keep_only(len(answer.body))
-                if not self._send(caller, reader.http, call, answer):
-                    return
+
+    def _serve_next(
+        self,
+        caller: socket.socket,
+        reader: RequestReader,
+        *,
+        is_first_request: bool,
+    ) -> bool:
+        """Serve the next request; False if the connection must be closed."""
+        with _held_memory(self.request_memory) as (account, held_replies):
+            request = reader.next_request(account)
+            if isinstance(request, BadRequest):
+                self._reject(caller, request)
+                return False
+            call, answer = self._answer(
+                caller,
+                request,
+                held_replies,
+                is_first_request=is_first_request,
+            )
+            if answer.verdict is Verdict.CALLER_LEFT:
+                return False
+            held_replies.keep_only(len(answer.body))
+            return self._send(caller, request.head, call, answer)
 
     def _answer(
         self,
@@ -143,91 +150,65 @@
     def _send(
         self,
         caller: socket.socket,
-        http: h11.Connection,
+        request: RequestHead,
         call: Call | None,
         answer: Answer,
     ) -> bool:
         """Send an answer; False if the connection must be closed."""
-        stays_open = not self.stop_state.is_stopping
-        self.sender.send(
-            caller, self._encode(http, call, answer, keep_alive=stays_open)
-        )
+        keep_alive = request.is_keep_alive and not self.stop_state.is_stopping
+        head, body = self._encode(call, answer, keep_alive=keep_alive)
+        if not has_body(request.method, answer.status):
+            body = b''
+        self.sender.send(caller, (head, body))
         try:
             self.forwarder.record_sent(answer)
         except Exception:
             _log.exception('sent answer not recorded', extra=_id_for_log(call))
-        return stays_open and http.our_state is h11.DONE
+        return keep_alive
 
-    def _reject(
-        self,
-        caller: socket.socket,
-        http: h11.Connection,
-        request: BadRequest,
-    ) -> None:
+    def _reject(self, caller: socket.socket, request: BadRequest) -> None:
         _log.info(
             'request rejected',
             extra={'status': request.status, 'detail': request.detail},
         )
-        if http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            answer = Answer(Verdict.MALFORMED, request.status)
-            self.sender.send(
-                caller, self._encode(http, None, answer, keep_alive=False)
-            )
+        answer = Answer(
+            Verdict.MALFORMED, request.status, retry_after=request.retry_after
+        )
+        self.sender.send(caller, self._encode(None, answer, keep_alive=False))
 
     def _encode(
-        self,
-        http: h11.Connection,
-        call: Call | None,
-        answer: Answer,
-        *,
-        keep_alive: bool,
-    ) -> list[bytes]:
-        head, body = self._encode_head_safely(call, answer, keep_alive)
-        parts = [http.send(head) or b'']
-        if body and (call is None or call.method != b'HEAD'):
-            parts.append(http.send(h11.Data(data=body)) or b'')
-        parts.append(http.send(h11.EndOfMessage()) or b'')
-        return parts
-
-    def _encode_head_safely(
-        self, call: Call | None, answer: Answer, keep_alive: bool
-    ) -> tuple[h11.Response, bytes]:
+        self, call: Call | None, answer: Answer, *, keep_alive: bool
+    ) -> tuple[bytes, bytes]:
         """Return head and body of an answer, or of the failure to encode it."""
         failure = self.forwarder.failure(may_have_run=True)
         for candidate in (answer, failure):
             try:
-                head = self._encode_head(call, candidate, keep_alive=keep_alive)
+                headers = self.codec.encode_headers(call, candidate)
+                head = encode_head(
+                    candidate.status,
+                    candidate.reason,
+                    headers,
+                    len(candidate.body),
+                    keep_alive=keep_alive,
+                )
             except Exception:
                 _log.exception('answer not encoded', extra=_id_for_log(call))
             else:
                 return head, candidate.body
-        bare = h11.Response(
-            status_code=failure.status,
-            headers=[(b'Content-Length', b'0'), (b'Connection', b'close')],
-        )
+        bare = encode_head(failure.status, b'', (), 0, keep_alive=False)
         return bare, b''
 
-    def _encode_head(
-        self, call: Call | None, answer: Answer, *, keep_alive: bool
-    ) -> h11.Response:
-        headers = self.codec.encode_headers(call, answer)
-        headers.append((b'Content-Length', str(len(answer.body)).encode()))
-        if not keep_alive:
-            headers.append((b'Connection', b'close'))
-        return h11.Response(
-            status_code=answer.status,
-            headers=headers,
-            reason=answer.reason or _PHRASE_BY_STATUS.get(answer.status, b''),
-        )
-
 
 @contextmanager
-def _held_replies() -> Iterator[HeldReplies]:
-    """Count the replies that a request holds until the end of the block."""
-    held_replies = HeldReplies()
+def _held_memory(
+    request_memory: MemoryBudget,
+) -> Iterator[tuple[MemoryAccount, HeldReplies]]:
+    """Count what a request, and the replies to it, occupy during the block."""
+    account, held_replies = request_memory.account(), HeldReplies()
     try:
-        yield held_replies
+        yield account, held_replies
     finally:
+        account.release()
         held_replies.close()
 
 
--- a/basilwall/platform/codec.py
+++ b/basilwall/platform/codec.py
@@ -1,12 +1,11 @@
 """Implements the codecs and the value reader for the users' platform."""
 
-import h11
-
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.ingress.codec import CallerCodec
 from basilwall.platform import headers, values
 from basilwall.records.forwarding import Answer, Call, Reply, ReplyHead
 from basilwall.records.ids import SearcherId
+from basilwall.records.request_head import RequestHead
 from basilwall.records.routes import RouteTable
 from basilwall.records.searcher import Searcher
 from basilwall.routing.routing_state import InvalidValueError, ValueReader
@@ -42,7 +41,7 @@
         return headers.idle_limit(head)
 
     def decode_request(
-        self, request: h11.Request, body: bytes, now: float
+        self, request: RequestHead, body: bytes, now: float
     ) -> Call:
         """Decode a caller's request; `now` is in monotonic seconds."""
         return headers.decode_call(request, body, now)
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -6,8 +6,6 @@
 import logging
 import math
 
-import h11
-
 from basilwall.records.forwarding import (
     Answer,
     Call,
@@ -16,6 +14,7 @@
     ReplyHead,
 )
 from basilwall.records.ids import SearcherId
+from basilwall.records.request_head import RequestHead
 
 _log = logging.getLogger(__name__)
 
@@ -68,7 +67,7 @@
 _UNAVAILABLE = 503
 
 
-def decode_call(request: h11.Request, body: bytes, now: float) -> Call:
+def decode_call(request: RequestHead, body: bytes, now: float) -> Call:
     """Decode a caller's request.
 
     Args:
@@ -79,7 +78,7 @@
     Returns:
         The request with the headers to forward.
     """
-    by_name = dict(request.headers)
+    by_name = request.headers_by_name
     host = by_name.get(b'host', b'').decode('latin-1').lower()
     return Call(
         method=request.method,
@@ -207,10 +206,9 @@
     return headers
 
 
-def _encode_head(request: h11.Request) -> bytes:
+def _encode_head(request: RequestHead) -> bytes:
     line = b'%b %b HTTP/1.1\r\n' % (request.method, request.target)
-    raw = tuple(request.headers.raw_items())
-    forwarded = _end_to_end_headers(raw, _REPLACED_HEADERS)
+    forwarded = _end_to_end_headers(request.headers, _REPLACED_HEADERS)
     lines = (b'%b: %b\r\n' % header for header in forwarded)
     return b''.join((line, *lines))
 
--- a/basilwall/relaying/codec.py
+++ b/basilwall/relaying/codec.py
@@ -7,8 +7,6 @@
 
 from dataclasses import replace
 
-import h11
-
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.ingress.codec import CallerCodec
 from basilwall.records.forwarding import (
@@ -20,6 +18,7 @@
     Verdict,
 )
 from basilwall.records.ids import SearcherAddress, SearcherId
+from basilwall.records.request_head import RequestHead
 from basilwall.records.searcher import SearcherProcess
 from basilwall.relaying.provenance import (
     UNKNOWN_PROVENANCE,
@@ -130,17 +129,12 @@
         self._codec = codec
 
     def decode_request(
-        self, request: h11.Request, body: bytes, received_at: float
+        self, request: RequestHead, body: bytes, received_at: float
     ) -> Call:
         """Decode a request; `received_at` is in monotonic seconds."""
-        raw = tuple(request.headers.raw_items())
+        raw = request.headers
         max_attempts = _number(_own_header(raw, MAX_ATTEMPTS)) or None
-        stripped = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=list(_without_own(raw)),
-            http_version=request.http_version,
-        )
+        stripped = replace(request, headers=_without_own(raw))
         call = self._codec.decode_request(stripped, body, received_at)
         return replace(
             call,
--- a/tests/freed_at_once_test.py
+++ b/tests/freed_at_once_test.py
@@ -53,12 +53,14 @@
 @pytest.mark.parametrize(
     'raw',
     [
+        b'nothing of HTTP\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHost: a\x01b\r\n\r\n',
         request('/none/a'),
         request('/one/a', method='POST', body=b'x' * 70_000),
         request('/one/a', X_More='x' * 5000),
         request('/one/a', method='POST', body=b'x' * 60_000),
     ],
-    ids=['no route', 'long body', 'long head', 'body'],
+    ids=['no request', 'malformed', 'no route', 'long body', 'long head', 'body'],
 )
 def test_a_request_that_has_ended_is_freed_at_once(tmp_path, raw):
     with staged(tmp_path) as stage:
