Judge a relayed request by the limits of the VM that its caller reached

What callers saw: on a VM without links to searchers, a request that its manifest allows ended in 413 or 431, which clients don't retry, if the VM that served it knew an older manifest with lower limits (DENIED). Found while looking through all places that compare a request with a limit.

Now the relaying VM alone judges; the other one bounds a request only by what it can hold. An older build may still refuse one so: an answer that says it comes from a VM and that the request has not run, with 400, 413 or 431, is followed by another VM, as one that was not taken. A searcher's own 413 is passed on as before.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -46,8 +46,10 @@
 CONNECTION_MEMORY_MB = 0.3
 #: File descriptors reserved for anything but connections.
 RESERVED_DESCRIPTORS = 400
-#: Upper bound of the headers that a VM adds to a request that it relays.
-RELAY_HEADER_BYTES = 512
+#: The largest relayed requests: the VM that relays one has compared it with the
+#: limits that callers are given, and these may be newer than those known here.
+MAX_RELAYED_HEAD_BYTES = 262_144
+MAX_RELAYED_BODY_BYTES = 16_777_216
 BYTES_PER_MB = 1_000_000
 #: Share of this VM's memory for replies, until their callers have them.
 REPLY_MEMORY_RATIO = 0.2
@@ -226,10 +228,12 @@
 
 
 def _relay_limits(routing_state: RoutingState) -> CallerLimits:
-    """Return the limits on relayed requests, which have more headers."""
-    limits = _caller_limits(routing_state)
-    max_header_bytes = limits.max_header_bytes + RELAY_HEADER_BYTES
-    return replace(limits, max_header_bytes=max_header_bytes)
+    """Return the limits on relayed requests: times, and what a VM can hold."""
+    return replace(
+        _caller_limits(routing_state),
+        max_header_bytes=MAX_RELAYED_HEAD_BYTES,
+        max_body_bytes=MAX_RELAYED_BODY_BYTES,
+    )
 
 
 def _run_housekeeping(
--- a/basilwall/relaying/provenance.py
+++ b/basilwall/relaying/provenance.py
@@ -31,21 +31,21 @@
 UNKNOWN_PROVENANCE = Provenance(AnswerOrigin.UNKNOWN, may_have_run=True)
 _FROM_SEARCHER = Provenance(AnswerOrigin.SEARCHER, may_have_run=True)
 _MAY_HAVE_RUN = Provenance(AnswerOrigin.VM, may_have_run=True)
-_NOT_RUN = Provenance(AnswerOrigin.VM, may_have_run=False)
+NOT_RUN_BY_VM = Provenance(AnswerOrigin.VM, may_have_run=False)
 _PROVENANCE_BY_VERDICT = {
     Verdict.ANSWERED: _FROM_SEARCHER,
     Verdict.PARTIAL: _FROM_SEARCHER,
     Verdict.PASSED_ON: _FROM_SEARCHER,
-    Verdict.NO_ROUTE: _NOT_RUN,
-    Verdict.NO_TABLE: _NOT_RUN,
-    Verdict.NO_SEARCHER: _NOT_RUN,
-    Verdict.NOT_RUN: _NOT_RUN,
-    Verdict.QUARANTINED: _NOT_RUN,
-    Verdict.UNDECIDED: _NOT_RUN,
-    Verdict.MALFORMED: _NOT_RUN,
-    Verdict.NOT_TAKEN: _NOT_RUN,
-    Verdict.STOPPING: _NOT_RUN,
-    Verdict.FAILED: _NOT_RUN,
+    Verdict.NO_ROUTE: NOT_RUN_BY_VM,
+    Verdict.NO_TABLE: NOT_RUN_BY_VM,
+    Verdict.NO_SEARCHER: NOT_RUN_BY_VM,
+    Verdict.NOT_RUN: NOT_RUN_BY_VM,
+    Verdict.QUARANTINED: NOT_RUN_BY_VM,
+    Verdict.UNDECIDED: NOT_RUN_BY_VM,
+    Verdict.MALFORMED: NOT_RUN_BY_VM,
+    Verdict.NOT_TAKEN: NOT_RUN_BY_VM,
+    Verdict.STOPPING: NOT_RUN_BY_VM,
+    Verdict.FAILED: NOT_RUN_BY_VM,
 }
 
 
--- a/basilwall/relaying/relay.py
+++ b/basilwall/relaying/relay.py
@@ -34,7 +34,7 @@
 from basilwall.relaying.codec import RelayCodec
 from basilwall.relaying.connections import RelayConnections
 from basilwall.relaying.peers import RelayPeers
-from basilwall.relaying.provenance import AnswerOrigin
+from basilwall.relaying.provenance import NOT_RUN_BY_VM, AnswerOrigin
 
 #: VMs that are asked to serve one request.
 MAX_VMS = 4
@@ -46,6 +46,8 @@
 #: Time reserved for the answer to travel back.
 RETURN_MARGIN_SECONDS = 0.05
 HTTP_NOT_FOUND = 404
+#: By these a VM says that it could not read a request, which was read here.
+UNREAD_STATUSES = frozenset((400, 413, 431))
 NO_SERVICE = ServiceName('')
 
 
@@ -252,7 +254,7 @@
         if isinstance(outcome, Lost):
             # It may have reached as many searchers as its route allows.
             return RelayResult(None, may_have_run=True)
-        if isinstance(outcome, Unsent) or self._codec.is_not_taken(outcome):
+        if isinstance(outcome, Unsent) or self._is_declined(outcome):
             return None
         provenance = self._codec.provenance(outcome)
         version = self._codec.table_version(outcome)
@@ -276,6 +278,12 @@
             )
         )
 
+    def _is_declined(self, reply: Reply) -> bool:
+        """Return whether a VM did not take a request, or could not read it."""
+        is_unread = reply.status in UNREAD_STATUSES
+        is_of_vm = self._codec.provenance(reply) == NOT_RUN_BY_VM
+        return self._codec.is_not_taken(reply) or (is_unread and is_of_vm)
+
     def _learn(self, reply: Reply, asked_at: float) -> None:
         """Learn what the searcher says of itself in an answer."""
         process = self._codec.searcher_process(reply)
--- a/basilwall/relaying/relay_test.py
+++ b/basilwall/relaying/relay_test.py
@@ -169,6 +169,18 @@
         assert sum(map(len, seen)) == 1
 
 
+@pytest.mark.parametrize('status', [400, 413, 431])
+def test_a_request_that_a_vm_of_older_limits_did_not_read_is_not_denied(status):
+    with relay_to(answer(status, 1, VM_NOT_RUN), answer(200, 1)) as (relay, _):
+        assert serve(relay).answer.status == 200
+
+
+@pytest.mark.parametrize('status', [400, 413, 431])
+def test_a_searcher_that_did_not_read_a_request_is_believed(status):
+    with relay_to(answer(status, 1, OF_SEARCHER), answer(200, 1)) as (relay, _):
+        assert serve(relay).answer.status == status
+
+
 VERSIONS = st.integers(min_value=0, max_value=3)
 STATUSES = st.one_of(
     st.sampled_from([200, 404, 408, 421, 429, 503]),
--- a/tests/freed_at_once_test.py
+++ b/tests/freed_at_once_test.py
@@ -60,7 +60,14 @@
         request('/one/a', X_More='x' * 5000),
         request('/one/a', method='POST', body=b'x' * 60_000),
     ],
-    ids=['no request', 'malformed', 'no route', 'long body', 'long head', 'body'],
+    ids=[
+        'no request',
+        'malformed',
+        'no route',
+        'long body',
+        'long head',
+        'body',
+    ],
 )
 def test_a_request_that_has_ended_is_freed_at_once(tmp_path, raw):
     with staged(tmp_path) as stage:
--- a/tests/links_lost_test.py
+++ b/tests/links_lost_test.py
@@ -1,6 +1,7 @@
 """A VM that loses its links to all searchers; another VM keeps its own."""
 
 import errno
+import json
 import socket
 import time
 from enum import Enum
@@ -245,3 +246,17 @@
         wait_until(lambda: stage.verdicts(request('/all/x')) == ['answered'])
         ask(stage.caller, request('/one/crashing', 'back'))
         assert len(restarting.ended) == ended
+
+
+@pytest.mark.parametrize(
+    'more', [{'body': b'x' * 100_000}, {'X_More': 'x' * 20_000}]
+)
+def test_a_relayed_request_is_not_judged_by_the_limits_of_the_serving_vm(
+    tmp_path, more
+):
+    with staged(tmp_path) as stage:
+        settings = json.loads(stage.node_file.read_text())
+        relay_address = f'{settings["ip"]}:{settings["internal_ports"][0]}'
+        raw = request('/one/a', method='POST', **more)
+        assert status_of(ask(stage.caller, raw)) in {413, 431}
+        assert status_of(ask(relay_address, raw)) == 200
