Let the connection that waited longest give way when all of them are used

Now one whose request was read is served to its end, and of the others the one that has waited longest, idle or for the rest of a request, gives way: with 408 and a time if part of a request had come. One that has waited for less than 0.1 s keeps its place; if all have, the new one is closed as before. A request that finds no room in the memory for requests lets the longest wait end as well, and is refused with 503 and a time.

Ruled out: shutting down the reading side of a connection without a lock: a request that completes at that moment would look like one whose caller left. It is served now without that watch, and its connection closed after it.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -22,10 +22,11 @@
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_transport import SocketTransport
 from basilwall.forwarding.superseded import SupersededAttempts
+from basilwall.ingress.open_connections import OpenConnections
+from basilwall.ingress.request_memory import RequestMemory
 from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.server import Ingress, StopState
 from basilwall.parts.clock import Clock
-from basilwall.parts.memory_budget import MemoryBudget
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.routes import CallerLimits
 from basilwall.relaying.codec import RelayCodec, RelayedCallerCodec
@@ -168,9 +169,9 @@
         codec,
         partial(_caller_limits, routing_state),
         clock,
-        _max_connections(settings),
+        OpenConnections(_max_connections(settings), clock),
         AnswerSender(clock, memory.is_awaited),
-        MemoryBudget(
+        RequestMemory(
             int(settings.memory_mb * BYTES_PER_MB * REQUEST_MEMORY_RATIO)
         ),
         stop_state,
--- a/basilwall/ingress/answering_test.py
+++ b/basilwall/ingress/answering_test.py
@@ -9,10 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from basilwall.ingress.open_connections import OpenConnections
+from basilwall.ingress.request_memory import RequestMemory
 from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.server import Ingress
 from basilwall.parts.clock import SystemClock
-from basilwall.parts.memory_budget import MemoryBudget
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.forwarding import Answer, Verdict
 from basilwall.records.routes import CallerLimits
@@ -64,8 +65,11 @@
     """Send requests on one connection and return the answers."""
     clock = SystemClock()
     sender = AnswerSender(clock, bool)
-    memory = MemoryBudget(1_000_000)
-    ingress = Ingress(forwarder, codec, CallerLimits, clock, 9, sender, memory)
+    memory = RequestMemory(1_000_000)
+    connections = OpenConnections(9, clock)
+    ingress = Ingress(
+        forwarder, codec, CallerLimits, clock, connections, sender, memory
+    )
     with socket.create_server(('127.0.0.1', 0)) as listener:
         caller = socket.create_connection(listener.getsockname())
         vm, _ = listener.accept()
--- a/basilwall/ingress/reading.py
+++ b/basilwall/ingress/reading.py
@@ -6,11 +6,12 @@
 
 import math
 import select
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NoReturn
 
 from basilwall.ingress.head_search import HeadSearch
+from basilwall.ingress.open_connections import OpenConnection, Phase
 from basilwall.ingress.request_parser import (
     HTTP_TOO_LARGE,
     ChunkedBodyParser,
@@ -65,24 +66,33 @@
 
 
 class RequestReader:
-    """Reads the requests of one connection in order.
-
-    `is_closing` returns whether idle connections are to be closed.
-    """
+    """Reads the requests of one connection in order."""
 
     def __init__(
         self,
-        caller: socket.socket,
+        connection: OpenConnection,
         limits: Callable[[], CallerLimits],
         clock: Clock,
         is_closing: Callable[[], bool],
+        make_room: Callable[[], bool],
     ) -> None:
-        self._caller = caller
+        """Read from a new connection.
+
+        Args:
+            connection: The connection; it is told when a request begins.
+            limits: Returns the limits in force.
+            clock: The monotonic clock.
+            is_closing: Returns whether idle connections are to be closed.
+            make_room: Lets another connection give way.
+        """
+        self._connection = connection
+        self._caller = connection.caller
+        self._make_room = make_room
         self._limits = limits
         self._clock = clock
         self._is_closing = is_closing
         self._poll = select.poll()
-        self._poll.register(caller, select.POLLIN)
+        self._poll.register(self._caller, select.POLLIN)
         self._received_at = clock.monotonic()
         self._opened_at = self._received_at
         #: What was received of the next request.
@@ -140,6 +150,7 @@
             idle_seconds = max(idle_seconds, limits.idle_timeout)
             self._received = search.skip_empty_lines(self._received)
             if search.has_begun:
+                self._connection.enter(Phase.READING)
                 now = self._clock.monotonic()
                 end = search.find_end(
                     self._received, limits.max_header_bytes, now
@@ -148,7 +159,7 @@
                     head_bytes = self._received[:end]
                     self._received = self._received[end:]
                     return head_bytes
-                _hold(account, len(self._received))
+                self._hold(account, len(self._received))
             self._check_head_time(
                 limits, search.begun_at, idle_since + idle_seconds
             )
@@ -160,7 +171,7 @@
         if framing.length is None:
             return self._read_chunks(limits, account)
         length = framing.length
-        _hold(account, length)
+        self._hold(account, length)
         parts = [self._take(length)]
         left = length - len(parts[0])
         while left:
@@ -183,7 +194,7 @@
                 self._received = parser.feed(self._received)
                 if parser.is_complete:
                     return bytes(parser.body)
-                _hold(account, len(parser.body))
+                self._hold(account, len(parser.body))
                 self._receive_more(limits)
         finally:
             parser.close()
@@ -240,18 +251,27 @@
         except OSError as error:
             raise CallerGoneError(str(error)) from error
         if not received:
-            raise CallerGoneError('connection closed')
+            self._raise_ended()
         self._received += received
         return True
 
+    def _raise_ended(self) -> NoReturn:
+        """Raise the error of a connection from which nothing more comes."""
+        is_reading = self._connection.phase is Phase.READING
+        if is_reading and self._connection.is_giving_way:
+            raise UnreadableRequestError(
+                HTTP_TIMEOUT, 'gave way to another connection'
+            )
+        raise CallerGoneError('connection closed')
 
-def _hold(account: MemoryAccount, size: int) -> None:
-    """Count what a request occupies.
+    def _hold(self, account: MemoryAccount, size: int) -> None:
+        """Count what a request occupies.
 
-    Raises:
-        UnreadableRequestError: If there is no room for it.
-    """
-    if size > FREE_BYTES and not account.resize(size):
-        raise UnreadableRequestError(
-            HTTP_UNAVAILABLE, 'no room for the request'
-        )
+        Raises:
+            UnreadableRequestError: If there is no room for it.
+        """
+        if size > FREE_BYTES and not account.resize(size):
+            self._make_room()
+            raise UnreadableRequestError(
+                HTTP_UNAVAILABLE, 'no room for the request'
+            )
--- a/basilwall/ingress/reading_test.py
+++ b/basilwall/ingress/reading_test.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from basilwall.ingress.open_connections import OpenConnection
 from basilwall.ingress.reading import (
     FIRST_REQUEST_SECONDS,
     BadRequest,
@@ -38,6 +39,10 @@
 class Reader(RequestReader):
     """Reads requests with an account of their own."""
 
+    def __init__(self, vm, limits, clock, is_closing):
+        connection = OpenConnection(vm, clock)
+        super().__init__(connection, limits, clock, is_closing, bool)
+
     def next_request(self):
         return super().next_request(MemoryBudget(10_000_000).account())
 
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -14,18 +14,22 @@
 from basilwall.forwarding.forwarder import Forwarder
 from basilwall.ingress.answer_encoding import encode_head, has_body
 from basilwall.ingress.codec import CallerCodec
+from basilwall.ingress.open_connections import (
+    OpenConnection,
+    OpenConnections,
+    Phase,
+)
 from basilwall.ingress.reading import (
     BadRequest,
     CallerGoneError,
     CompleteRequest,
     RequestReader,
 )
+from basilwall.ingress.request_memory import HeldMemory, RequestMemory
 from basilwall.ingress.sending import AnswerSender
 from basilwall.ingress.transfer import transfer_seconds
 from basilwall.parts.clock import Clock
-from basilwall.parts.held_replies import HeldReplies
 from basilwall.parts.listening_sockets import refuse_new_connections
-from basilwall.parts.memory_budget import MemoryAccount, MemoryBudget
 from basilwall.parts.tasks import TaskGroup
 from basilwall.records.forwarding import Answer, Call, Verdict
 from basilwall.records.request_head import RequestHead
@@ -62,11 +66,10 @@
     codec: CallerCodec
     limits: Callable[[], CallerLimits]
     clock: Clock
-    max_connections: int
+    connections: OpenConnections
     sender: AnswerSender
-    request_memory: MemoryBudget
+    request_memory: RequestMemory
     stop_state: StopState = field(default_factory=StopState)
-    connections: set[socket.socket] = field(default_factory=set)
 
     def serve(self, caller: socket.socket) -> None:
         """Serve one connection until it ends."""
@@ -84,46 +87,52 @@
 
     def _serve_requests(self, caller: socket.socket) -> None:
         caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = self.connections.of(caller)
         reader = RequestReader(
-            caller,
+            connection,
             self.limits,
             self.clock,
             lambda: self.stop_state.is_closing_idle,
+            self.connections.make_room,
         )
         for number in itertools.count():
             is_first = not number
-            if not self._serve_next(caller, reader, is_first_request=is_first):
+            if not self._serve_next(
+                connection, reader, is_first_request=is_first
+            ):
                 return
 
     def _serve_next(
         self,
-        caller: socket.socket,
+        connection: OpenConnection,
         reader: RequestReader,
         *,
         is_first_request: bool,
     ) -> bool:
         """Serve the next request; False if the connection must be closed."""
-        with _held_memory(self.request_memory) as (account, held_replies):
-            request = reader.next_request(account)
+        with self.request_memory.held() as held:
+            connection.enter(Phase.IDLE)
+            request = reader.next_request(held.account)
+            connection.enter(Phase.SERVING)
             if isinstance(request, BadRequest):
-                self._reject(caller, request)
+                self._reject(connection.caller, request)
                 return False
             call, answer = self._answer(
-                caller,
+                connection,
                 request,
-                held_replies,
+                held,
                 is_first_request=is_first_request,
             )
             if answer.verdict is Verdict.CALLER_LEFT:
                 return False
-            held_replies.keep_only(len(answer.body))
-            return self._send(caller, request.head, call, answer)
+            held.replies.keep_only(len(answer.body))
+            return self._send(connection, request.head, call, answer)
 
     def _answer(
         self,
-        caller: socket.socket,
+        connection: OpenConnection,
         request: CompleteRequest,
-        held_replies: HeldReplies,
+        held: HeldMemory,
         *,
         is_first_request: bool,
     ) -> tuple[Call | None, Answer]:
@@ -133,33 +142,36 @@
                 request.head, request.body, request.head_received_at
             )
             transfer = transfer_seconds(
-                caller, is_first_request=is_first_request
+                connection.caller, is_first_request=is_first_request
             )
         except Exception:
             _log.exception('request not decoded')
             return None, self.forwarder.failure(may_have_run=False)
         call = replace(
-            call, transfer_seconds=transfer, held_replies=held_replies
+            call, transfer_seconds=transfer, held_replies=held.replies
         )
+        # A connection that gives way would look like one whose caller left.
+        watched = None if connection.is_giving_way else connection.caller
         try:
-            return call, self.forwarder.serve(call, caller)
+            return call, self.forwarder.serve(call, watched)
         except Exception:
             _log.exception('request failed', extra=_id_for_log(call))
             return call, self.forwarder.failure(may_have_run=True)
 
     def _send(
         self,
-        caller: socket.socket,
+        connection: OpenConnection,
         request: RequestHead,
         call: Call | None,
         answer: Answer,
     ) -> bool:
         """Send an answer; False if the connection must be closed."""
-        keep_alive = request.is_keep_alive and not self.stop_state.is_stopping
+        may_stay = not (self.stop_state.is_stopping or connection.is_giving_way)
+        keep_alive = request.is_keep_alive and may_stay
         head, body = self._encode(call, answer, keep_alive=keep_alive)
         if not has_body(request.method, answer.status):
             body = b''
-        self.sender.send(caller, (head, body))
+        self.sender.send(connection.caller, (head, body))
         try:
             self.forwarder.record_sent(answer)
         except Exception:
@@ -199,19 +211,6 @@
         return bare, b''
 
 
-@contextmanager
-def _held_memory(
-    request_memory: MemoryBudget,
-) -> Iterator[tuple[MemoryAccount, HeldReplies]]:
-    """Count what a request, and the replies to it, occupy during the block."""
-    account, held_replies = request_memory.account(), HeldReplies()
-    try:
-        yield account, held_replies
-    finally:
-        account.release()
-        held_replies.close()
-
-
 def _id_for_log(call: Call | None) -> dict[str, bytes]:
     return {'request': call.request_id if call else b''}
 
@@ -312,11 +311,10 @@
         _log.warning('connection not accepted', extra={'error': str(error)})
         Event().wait(ACCEPT_TIMEOUT_SECONDS)
         return False
-    if len(ingress.connections) >= ingress.max_connections:
+    if not ingress.connections.add(caller):
         _log.warning('connection closed at the connection limit')
         caller.close()
         return True
-    ingress.connections.add(caller)
     try:
         tasks.start(partial(ingress.serve, caller))
     except RuntimeError as error:
--- a/basilwall/ingress/server_test.py
+++ b/basilwall/ingress/server_test.py
@@ -4,7 +4,9 @@
 import threading
 from types import SimpleNamespace
 
+from basilwall.ingress.open_connections import OpenConnections
 from basilwall.ingress.server import ingress_server
+from basilwall.parts.clock import SystemClock
 from basilwall.parts.tasks import task_group
 from basilwall.standin.ports import reserved_ports
 
@@ -32,7 +34,8 @@
         caller.close()
         served.set()
 
-    ingress = SimpleNamespace(connections=set(), max_connections=9, serve=serve)
+    connections = OpenConnections(9, SystemClock())
+    ingress = SimpleNamespace(connections=connections, serve=serve)
     with task_group('test') as tasks, reserved_ports(1) as port:
         address = f'{HOST}:{port}'
         with ingress_server(ingress, address, ScarceTasks(tasks)):
