Make the buffer of a reply's body once, so that a long body stays whole

Cause: what a growing buffer reserves was counted for a buffer of the final size, too. Near the end of a body that came in several reads that was more than the account held, so room was looked for again and the buffer made anew, from all of the old one with its empty rest; what followed came after it.

Ruled out: the relay itself (the same bytes are whole when they come in two reads).

Test: bodies of up to 100,000 bytes in any parts, in all three framings; the one with a length failed before. Bodies in the tests so far were short, of zeros, or came at once.

--- a/basilwall/forwarding/reply_messages.py
+++ b/basilwall/forwarding/reply_messages.py
@@ -71,7 +71,7 @@
     @property
     def body_capacity(self) -> int:
         """What the buffer of the body occupies, in bytes."""
-        return max(self._capacity, int(self._body.tell() * GROWTH_RATIO))
+        return self._capacity or int(self._body.tell() * GROWTH_RATIO)
 
     @property
     def may_end_with_connection(self) -> bool:
@@ -92,7 +92,9 @@
         return ''
 
     def make_room(self, size: int) -> None:
-        """Make a buffer of the size of the whole body; it does not grow."""
+        """Make a buffer of the size of the whole body, unless it is there."""
+        if self._capacity:
+            return
         read = self._body.getvalue()
         self._body = io.BytesIO(bytes(size))
         self._body.write(read)
--- a/basilwall/forwarding/reply_reader_test.py
+++ b/basilwall/forwarding/reply_reader_test.py
@@ -47,6 +47,21 @@
     assert not unread
 
 
+NUMBERED = bytes(number % 251 for number in range(100_000))
+
+
+@pytest.mark.parametrize('framing', [b'length', b'chunks', b'close'])
+@given(
+    size=st.integers(0, len(NUMBERED)),
+    cuts=st.lists(st.integers(0, len(NUMBERED)), max_size=30),
+)
+def test_a_body_that_comes_in_many_parts_is_whole(framing, size, cuts):
+    body = NUMBERED[:size]
+    stream = reply(body, framing)
+    parsed, _ = feed(reader(), stream, cuts, closes=framing == b'close')
+    assert parsed.body == body
+
+
 @given(cuts=st.lists(st.integers(0, 500), max_size=4))
 def test_bytes_after_the_reply_make_the_connection_unusable(cuts):
     parsed, unread = feed(reader(), OWN + OTHER, cuts)
