--- a/bench/entry_parts.py
+++ b/bench/entry_parts.py
@@ -18,11 +18,11 @@
 from basilwall.forwarding.connection_pools import ConnectionPools
 from basilwall.forwarding.context import ForwardingContext
 from basilwall.forwarding.forwarder import Forwarder
+from basilwall.forwarding.reply_memory import ReplyMemory
 from basilwall.forwarding.reporting import RequestMetrics, RequestReporter
 from basilwall.forwarding.retry_policy import RetryPolicy
 from basilwall.forwarding.socket_transport import SocketTransport
 from basilwall.forwarding.superseded import SupersededAttempts
-from basilwall.parts.byte_budget import ByteBudget
 from basilwall.parts.clock import SystemClock
 from basilwall.platform.codec import HeaderCodec
 from basilwall.records.catalogue import PublishedValue
@@ -156,7 +156,7 @@
         pools,
         HeaderCodec(),
         links,
-        ByteBudget(100_000_000),
+        ReplyMemory(100_000_000, clock),
         SupersededAttempts(selector, detector, clock),
         clock,
     )
