Draw when a caller comes back whose request was not read in time or found no room

Callers whose connections give way are told at the same moment when to come back; all had the same half second. They get a refusal's time now, which is drawn for each.

--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -181,15 +181,10 @@
             partial(self._codec.is_reply_to, self.call),
             self._account,
         )
-        encoded, body = (
-            self._codec.encode_attempt(
-                self.call, self.searcher.searcher_id, time_left
-            ),
-            self.call.body,
+        head = self._codec.encode_attempt(
+            self.call, self.searcher.searcher_id, time_left
         )
-        if len(body) <= MAX_COPIED_BYTES:
-            encoded, body = b''.join((encoded, body)), b''
-        self._unsent, self._unsent_body = memoryview(encoded), memoryview(body)
+        self._unsent, self._unsent_body = _sent_parts(head, self.call.body)
         self.stage = Stage.SENDING
 
     def _send(self) -> None:
@@ -235,3 +230,10 @@
         self.connection.mark_idle(self._codec.idle_limit(reply.head))
         searcher_id = self.searcher.searcher_id
         return self._codec.decode_reply(searcher_id, reply.head, reply.body)
+
+
+def _sent_parts(head: bytes, body: bytes) -> tuple[memoryview, memoryview]:
+    """Return what is sent first and then; a short body goes with its head."""
+    if len(body) <= MAX_COPIED_BYTES:
+        return memoryview(b''.join((head, body))), memoryview(b'')
+    return memoryview(head), memoryview(body)
--- a/basilwall/ingress/reading.py
+++ b/basilwall/ingress/reading.py
@@ -33,8 +33,6 @@
 FIRST_REQUEST_SECONDS = 0.4
 #: What a connection may hold without an account.
 FREE_BYTES = 16_384
-#: When a caller may come back whose request found no room, in seconds.
-RETRY_AFTER_NO_ROOM_SECONDS = 0.5
 HTTP_TIMEOUT = 408
 HTTP_UNAVAILABLE = 503
 _CONTINUE = b'HTTP/1.1 100 \r\n\r\n'
@@ -48,12 +46,12 @@
 class BadRequest:
     """A request that can't be read; `status` is for the answer.
 
-    It has not run. `retry_after` is in seconds, None if a retry would not help.
+    It has not run. `may_retry` is True if the same request may be read later.
     """
 
     status: int
     detail: str
-    retry_after: float | None = None
+    may_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,8 +118,7 @@
             return self._read_request(account)
         except UnreadableRequestError as error:
             may_retry = error.status in {HTTP_TIMEOUT, HTTP_UNAVAILABLE}
-            retry_after = RETRY_AFTER_NO_ROOM_SECONDS if may_retry else None
-            return BadRequest(error.status, str(error), retry_after)
+            return BadRequest(error.status, str(error), may_retry)
 
     def _read_request(self, account: MemoryAccount) -> CompleteRequest:
         head_bytes = self._read_head(account)
--- a/basilwall/ingress/server.py
+++ b/basilwall/ingress/server.py
@@ -183,9 +183,11 @@
             'request rejected',
             extra={'status': request.status, 'detail': request.detail},
         )
-        answer = Answer(
-            Verdict.MALFORMED, request.status, retry_after=request.retry_after
-        )
+        answer = Answer(Verdict.MALFORMED, request.status)
+        if request.may_retry:
+            # Its time is drawn, so that callers do not return together.
+            refusal = self.forwarder.failure(may_have_run=False)
+            answer = replace(answer, retry_after=refusal.retry_after)
         self.sender.send(caller, self._encode(None, answer, keep_alive=False))
 
     def _encode(
