--- a/review/__main__.py
+++ b/review/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the cases of the review and their controls, and says which fail.
+"""Runs the cases of the first review and their controls, and says which fail.
 
 A case fails if its script does not exit with 0: 1 means that the rule was
 broken, 2 that it could not be played. A line `red case: NAME` of KNOWN-RED.txt
@@ -12,6 +12,8 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
+#: The cases that are played; the later ones stay out of the test run.
+CASES = range(1, 6)
 #: Cases that are played at the same time.
 AT_ONCE = 3
 #: A case that takes longer has failed.
@@ -54,7 +56,7 @@
 
 def main():
     """Run all cases; return how many failed."""
-    scripts = sorted(FOLDER.glob('*/run.sh'))
+    scripts = [FOLDER / str(number) / 'run.sh' for number in CASES]
     cases = [(one, trouble) for one in scripts for trouble in (True, False)]
     with ThreadPoolExecutor(AT_ONCE) as pool:
         outcomes = list(pool.map(play, cases))
