Put a route table in force though a VM can't use one of its entries

Callers saw 404 on every new route 6 s after the store had accepted a version with one prefix of 300 bytes, on all VMs, and so with every later version that kept the route.

Cause: the decoder had bounds of its own, 256 characters for a name, a host, a prefix or a service, 2^31 for a count, and any entry beyond one of them made the whole document unreadable.

Now no text or count is refused for its size. Each route, each service and the limits are decoded alone. A route that can't be used keeps its place: requests below its prefix get 503 with the time to come back, never 404 and never another route; if even its host or prefix can't be read, no path gets 404. All else of the version is in force, so versions still only rise and a dropped route is dropped. Ids of searchers may have the 192 bytes that a key leaves them, not 190.

Ruled out: the register of revisions and the relays between VMs, which passed the value on ("value refused" came from the decoder's text).

--- a/basilwall/forwarding/answers.py
+++ b/basilwall/forwarding/answers.py
@@ -12,6 +12,7 @@
 from basilwall.routing.selection import SearcherSelector
 
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -20,6 +21,8 @@
 #: Retry-after times of refusals, each multiplied by a random jitter factor.
 RETRY_AFTER_NO_SEARCHER_SECONDS = 0.8
 RETRY_AFTER_OVERLOAD_SECONDS = 0.3
+#: The next version of the route table may be usable.
+RETRY_AFTER_UNUSABLE_ROUTE_SECONDS = 5.0
 MIN_RETRY_AFTER_JITTER = 0.7
 MAX_RETRY_AFTER_JITTER = 1.3
 
@@ -55,6 +58,18 @@
             retry_after=self._with_jitter(RETRY_AFTER_OVERLOAD_SECONDS),
         )
 
+    def without_route(self, *, is_unusable: bool) -> Answer:
+        """Return the answer of a request that no usable route matches.
+
+        Args:
+            is_unusable: Whether an unusable route matches it, or may do so.
+        """
+        if is_unusable:
+            return self.refusal(
+                Verdict.UNUSABLE_ROUTE, RETRY_AFTER_UNUSABLE_ROUTE_SECONDS
+            )
+        return Answer(Verdict.NO_ROUTE, HTTP_NOT_FOUND)
+
     def unservable(
         self, verdict: Verdict, subrequests: Sequence[SubRequest], needed: int
     ) -> Answer:
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -28,13 +28,17 @@
 from basilwall.forwarding.transport import CallerLeftError
 from basilwall.records.forwarding import Answer, Call, Verdict
 from basilwall.records.ids import NO_ROUTE, ServiceName
-from basilwall.records.routes import RetrySafety, Route, RouteTable
+from basilwall.records.routes import (
+    RetrySafety,
+    Route,
+    RouteTable,
+    UnusableRoute,
+)
 from basilwall.records.searcher import SearcherProcess, process_of
 from basilwall.relaying.relay import Relay, RelayRequest
 from basilwall.routing.routing_state import RoutingState
 from basilwall.routing.weighted_round_robin import WeightedRoundRobin
 
-HTTP_NOT_FOUND = 404
 RETRY_AFTER_NO_TABLE_SECONDS = 1.0
 #: The other VMs can serve a request at once.
 RETRY_AFTER_STOPPING_SECONDS = 0.1
@@ -81,8 +85,9 @@
         route: Route | None = None
         trail = Trail()
         try:
-            route = table.find_route(call.host, call.path) if table else None
-            answer = self._answer(call, table, route, caller, trail)
+            found = table.find_route(call.host, call.path) if table else None
+            route = found if isinstance(found, Route) else None
+            answer = self._answer(call, table, found, caller, trail)
         except CallerLeftError:
             answer = Answer(Verdict.CALLER_LEFT, 0)
         except Exception:
@@ -127,17 +132,19 @@
         self,
         call: Call,
         table: RouteTable | None,
-        route: Route | None,
+        found: Route | UnusableRoute | None,
         caller: socket.socket | None,
         trail: Trail,
     ) -> Answer:
         refusal = self._refuse_at_once(call, table)
         if refusal is not None:
             return refusal
+        route = found if isinstance(found, Route) else None
         if self._is_behind(table):
             return self._have_relayed(call, route, caller, trail)
         if route is None:
-            return Answer(Verdict.NO_ROUTE, HTTP_NOT_FOUND)
+            is_unusable = found is not None or not _is_complete(table)
+            return self._answers.without_route(is_unusable=is_unusable)
         now = self._context.clock.monotonic()
         if is_too_late(call, route, now, self._context.stops_at()):
             return self._answers.refusal(
@@ -320,6 +327,10 @@
         execution.close(caller_left=False)
 
 
+def _is_complete(table: RouteTable | None) -> bool:
+    return table is not None and table.is_complete
+
+
 def _process_of(
     answer: Answer, routing_state: RoutingState
 ) -> SearcherProcess | None:
--- a/basilwall/platform/codec.py
+++ b/basilwall/platform/codec.py
@@ -3,6 +3,8 @@
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.ingress.codec import CallerCodec
 from basilwall.platform import headers, values
+from basilwall.platform.decoding import UnreadableValueError
+from basilwall.platform.route_documents import decode_table
 from basilwall.records.forwarding import Answer, Call, Reply, ReplyHead
 from basilwall.records.ids import SearcherId
 from basilwall.records.request_head import RequestHead
@@ -69,13 +71,13 @@
     def read_route_table(self, body: bytes) -> RouteTable:
         """Decode the route table."""
         try:
-            return values.decode_table(body)
-        except values.UnreadableValueError as error:
+            return decode_table(body)
+        except UnreadableValueError as error:
             raise InvalidValueError(str(error)) from error
 
     def read_searcher(self, key: str, body: bytes) -> Searcher:
         """Decode a searcher's entry."""
         try:
             return values.decode_searcher(key, body)
-        except values.UnreadableValueError as error:
+        except UnreadableValueError as error:
             raise InvalidValueError(str(error)) from error
--- a/basilwall/platform/values_test.py
+++ b/basilwall/platform/values_test.py
@@ -6,11 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basilwall.platform.values import (
-    UnreadableValueError,
-    decode_searcher,
-    decode_table,
-)
+from basilwall.platform.decoding import UnreadableValueError
+from basilwall.platform.route_documents import decode_table
+from basilwall.platform.values import decode_searcher
 from basilwall.records.routes import RouteTable
 from basilwall.records.searcher import Searcher
 
@@ -19,6 +17,8 @@
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
     max_leaves=8,
 )
+#: Longest key of the store.
+MAX_KEY_BYTES = 200
 ENTRY = {
     'service': 's',
     'address': '10.0.0.1:80',
@@ -66,3 +66,17 @@
         1.5,
         7,
     )
+
+
+def test_no_id_or_text_is_too_long_for_a_searcher():
+    entry = {**ENTRY, 'service': 's' * 5000, 'zone': 'z' * 5000}
+    searcher_id = 'i' * (MAX_KEY_BYTES - len('servers/'))
+    searcher = decode_searcher(
+        f'servers/{searcher_id}', json.dumps(entry).encode()
+    )
+    assert searcher.searcher_id == searcher_id
+
+
+def test_no_number_of_slots_is_too_high_for_a_searcher():
+    entry = json.dumps({**ENTRY, 'capacity': 2**40}).encode()
+    assert decode_searcher('servers/i', entry).slots > 1000
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -141,7 +141,8 @@
     relayed to this one, which can't serve it. STOPPING is a request that came
     too late in a planned stop. UNDECIDED is a request whose content has just
     lost a searcher. FAILED is one that an unforeseen error of this VM ended
-    before it was sent anywhere.
+    before it was sent anywhere. UNUSABLE_ROUTE is one whose route, if it has
+    one, is published in a form that this VM can't use.
     """
 
     ANSWERED = 'answered'
@@ -162,6 +163,7 @@
     NOT_TAKEN = 'not_taken'
     STOPPING = 'stopping'
     FAILED = 'failed'
+    UNUSABLE_ROUTE = 'unusable_route'
 
 
 @dataclass(frozen=True, slots=True)
--- a/basilwall/records/routes.py
+++ b/basilwall/records/routes.py
@@ -63,6 +63,18 @@
     scatter_gather: ScatterGather | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UnusableRoute:
+    """A published route that this VM can't use, as it can't be decoded.
+
+    It takes the requests that match it, so that no other route does; they are
+    refused.
+    """
+
+    host: str
+    prefix: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Limits on callers' requests; sizes in bytes, times in seconds."""
@@ -75,14 +87,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """All routes of one version, by host, with the longest prefix first."""
+    """All routes of one version, by host, with the longest prefix first.
+
+    `is_complete` is False if there are more routes whose host or prefix is
+    unknown: a request without a route may then have one.
+    """
 
     version: int
-    routes_by_host: Mapping[str, tuple[Route, ...]]
+    routes_by_host: Mapping[str, tuple[Route | UnusableRoute, ...]]
     max_connections_by_service: Mapping[ServiceName, int]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    is_complete: bool = True
 
-    def find_route(self, host: str, path: bytes) -> Route | None:
+    def find_route(
+        self, host: str, path: bytes
+    ) -> Route | UnusableRoute | None:
         """Return the route of a request, or None if there is none.
 
         Args:
@@ -96,3 +115,11 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+    def unusable_count(self) -> int:
+        """Return how many routes with a known place can't be used."""
+        return sum(
+            isinstance(route, UnusableRoute)
+            for routes in self.routes_by_host.values()
+            for route in routes
+        )
--- a/basilwall/relaying/provenance.py
+++ b/basilwall/relaying/provenance.py
@@ -46,6 +46,7 @@
     Verdict.NOT_TAKEN: NOT_RUN_BY_VM,
     Verdict.STOPPING: NOT_RUN_BY_VM,
     Verdict.FAILED: NOT_RUN_BY_VM,
+    Verdict.UNUSABLE_ROUTE: NOT_RUN_BY_VM,
 }
 
 
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -186,6 +186,7 @@
                 'version': table.version,
                 'revision': published.revision,
                 'former': previous.version if previous else None,
+                'unusable_routes': table.unusable_count(),
             },
         )
         return ''
--- a/tests/documents_in_force_test.py
+++ b/tests/documents_in_force_test.py
@@ -6,13 +6,17 @@
 
 from tests.entry_stage import (
     BOUNDS,
+    ROUTES,
     ask,
     other_vm,
     publish_route,
     request,
+    route,
     seconds_until_served,
+    split,
     staged,
     status_of,
+    table,
     wait_until,
 )
 
@@ -57,6 +61,52 @@
         assert status_of(ask(stage.caller, request(path))) == 200
 
 
+#: As long as a request's head allows here.
+LONG_PREFIX = f'/{"p" * 3000}/'
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'prefix': LONG_PREFIX},
+        {'prefix': '/long/', 'name': 'n' * 300},
+        {'prefix': '/odd/', 'type': 'unheard_of'},
+    ],
+)
+def test_a_route_that_is_long_or_odd_keeps_no_other_route_out_of_force(
+    stage, tmp_path, fields
+):
+    added = route('/new/', service='single')
+    other = {**route('/', service='single'), **fields}
+    stage.store.put('op/config', table(2, [*ROUTES, added, other]))
+    assert seconds_until_served(stage.caller, '/new/a') < BOUND_SECONDS
+    folder = tmp_path / 'other'
+    folder.mkdir()
+    with other_vm(stage, folder) as started_later:
+        assert seconds_until_served(started_later.caller, '/new/a') < 1
+
+
+def test_requests_of_a_long_prefix_are_served(stage):
+    added = route(LONG_PREFIX, service='single')
+    stage.store.put('op/config', table(2, [*ROUTES, added]))
+    path = f'{LONG_PREFIX}a'
+    assert seconds_until_served(stage.caller, path) < BOUND_SECONDS
+
+
+def test_requests_of_an_unusable_route_are_refused_and_not_run(stage):
+    odd = route('/one/odd/', service='single', type='unheard_of')
+    added = route('/new/', service='single')
+    stage.store.put('op/config', table(2, [*ROUTES, odd, added]))
+    seconds_until_served(stage.caller, '/new/a')
+    ran = len(stage.seen('single'))
+    answer = ask(stage.caller, request('/one/odd/a'))
+    assert status_of(answer) == 503
+    assert float(split(answer)[0][b'retry-after']) > 0
+    assert len(stage.seen('single')) == ran
+    assert status_of(ask(stage.caller, request('/one/a'))) == 200
+    assert status_of(ask(stage.caller, request('/none/a'))) == 404
+
+
 def drain(stage):
     stage.list_searcher('single.near', 'single', state='draining')
 
