Take values as large as the platform says, and keep no others than those used

A table of more than 1 MiB was never in force, in a deployment whose `value_bytes` is higher: "malformed value", 404 on its new routes. DEPLOY.md gives `value_bytes` in the settings; PROTOCOL.md says "any bytes, at most `value_bytes`". The register of revisions and the relays between VMs had 1 MiB as a constant. They take it from the settings now; 1 MiB if these say nothing.

Two more faults on the same way: a delta of a value near the limit that shares nothing with the former one was refused by the asking VM, as the frames of its pieces count too, so the VM read the store itself for 8 s; and a VM could not send a delta of a former value larger than 1 MiB. And values under keys that no VM uses were kept whole, up to 4,096 of them: other writers may keep anything in the store. They are no longer kept, so they take no room from searchers.

--- a/basilwall/entry_vm.py
+++ b/basilwall/entry_vm.py
@@ -52,7 +52,7 @@
 from basilwall.platform.node import read_node_file, settings_path
 from basilwall.platform.store import HttpStoreClient
 from basilwall.records.ids import Incarnation
-from basilwall.routing.routing_state import RoutingState
+from basilwall.routing.routing_state import RoutingState, ValueReader
 from basilwall.settings.current import CurrentSettings, SettingsError
 from basilwall.settings.entry import EntrySettings
 
@@ -94,12 +94,13 @@
     """
     settings = current.value
     clock, rng = BootClock(), random.Random()
-    routing_state = RoutingState(StoreValueReader(), clock)
+    value_reader = StoreValueReader()
+    routing_state = RoutingState(value_reader, clock)
     with ExitStack() as stack:
         tasks = stack.enter_context(task_group('task'))
         fleet = _build_fleet(settings, tasks, clock, rng)
         store_access = _build_store_access(
-            settings, routing_state, fleet, clock, rng
+            settings, routing_state, value_reader, fleet, clock, rng
         )
         metrics = PrometheusMetrics()
         store_age = store_access.freshness.age_seconds
@@ -191,18 +192,26 @@
 def _build_store_access(
     settings: EntrySettings,
     routing_state: RoutingState,
+    value_reader: ValueReader,
     fleet: Fleet,
     clock: Clock,
     rng: random.Random,
 ) -> StoreAccess:
-    register = RevisionRegister(routing_state.accept)
+    register = RevisionRegister(
+        routing_state.accept,
+        settings.max_value_bytes,
+        value_reader.is_used_key,
+    )
     may_relay = _may_relay(settings)
     watch_seconds = SHORT_WATCH_SECONDS if may_relay else LONG_WATCH_SECONDS
     progress = TransferProgress(clock)
     store = HttpStoreClient(
         settings.store_address, watch_seconds, progress, clock, rng
     )
-    client = ChangeClient(partial(large_values, register))
+    client = ChangeClient(
+        partial(large_values, register),
+        max_value_bytes=settings.max_value_bytes,
+    )
     reader = RelayedReader(
         store, fleet.membership, settings.place, clock, may_relay, client
     )
--- a/basilwall/fleet/change_client.py
+++ b/basilwall/fleet/change_client.py
@@ -15,6 +15,7 @@
     encode_request,
 )
 from basilwall.fleet.http_calls import HTTP_OK, CallLimits, post
+from basilwall.parts.revisions import MAX_BODY_BYTES
 from basilwall.records.catalogue import PublishedValue
 from basilwall.records.ids import VmAddress
 
@@ -58,7 +59,10 @@
     """Requests changes of the store from other VMs."""
 
     def __init__(
-        self, large_values: LargeValues = _no_large_values, send: Post = _post
+        self,
+        large_values: LargeValues = _no_large_values,
+        send: Post = _post,
+        max_value_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Create a client.
 
@@ -66,7 +70,9 @@
             large_values: Returns the large values that this VM has, so that it
                 is sent only what has changed in them.
             send: Sends a request to a VM, by HTTP.
+            max_value_bytes: The largest size of a value.
         """
+        self._max_value_bytes = max_value_bytes
         self._large_values = large_values
         self._send = send
 
@@ -105,7 +111,7 @@
         reply = WatchReply(
             changes.revision,
             tuple(
-                decode_value(relayed, known_by_key)
+                decode_value(relayed, known_by_key, self._max_value_bytes)
                 for relayed in changes.values
             ),
             changes.is_whole,
--- a/basilwall/fleet/changes.py
+++ b/basilwall/fleet/changes.py
@@ -13,6 +13,7 @@
 
 from basilwall.configuration.client import PlatformError
 from basilwall.fleet.value_deltas import apply_delta, decompress
+from basilwall.parts.revisions import MAX_BODY_BYTES
 from basilwall.records.catalogue import PublishedValue
 
 #: HTTP path at which VMs request changes.
@@ -77,25 +78,28 @@
 
 
 def decode_value(
-    relayed: RelayedValue, known_by_key: Mapping[str, PublishedValue]
+    relayed: RelayedValue,
+    known_by_key: Mapping[str, PublishedValue],
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> PublishedValue:
     """Return the published value that was relayed.
 
     Args:
         relayed: The value as it was relayed.
         known_by_key: The large values that the request named.
+        max_bytes: The largest size of a value.
 
     Raises:
         PlatformError: If its body can't be decoded or is too large.
     """
     body = relayed.body
     if relayed.form == ValueForm.COMPRESSED:
-        body = decompress(body)
+        body = decompress(body, max_bytes)
     elif relayed.form == ValueForm.DELTA:
         known = known_by_key.get(relayed.key)
         if known is None or known.revision != relayed.base_revision:
             raise PlatformError(f'{relayed.key}: delta of another version')
-        body = apply_delta(known.body, body)
+        body = apply_delta(known.body, body, max_bytes)
     return PublishedValue(relayed.key, relayed.revision, body)
 
 
--- a/basilwall/fleet/value_deltas.py
+++ b/basilwall/fleet/value_deltas.py
@@ -17,6 +17,9 @@
 SEPARATOR = b'},'
 #: The fastest level; route tables shrink to a sixth or less with it.
 COMPRESSION_LEVEL = 1
+#: A delta that shares nothing is larger than its value: each piece is framed,
+#: and the shortest one takes two bytes of the value.
+MAX_DELTA_RATIO = 8
 
 
 class _Copy(msgspec.Struct, array_like=True):
@@ -43,15 +46,19 @@
     return zlib.compress(body, COMPRESSION_LEVEL)
 
 
-def decompress(compressed: bytes) -> bytes:
+def decompress(compressed: bytes, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return a decompressed value.
 
+    Args:
+        compressed: The compressed value.
+        max_bytes: The largest size of a value.
+
     Raises:
         PlatformError: If it can't be decompressed or is too large.
     """
     decompressor = zlib.decompressobj()
     try:
-        body = decompressor.decompress(compressed, MAX_BODY_BYTES)
+        body = decompressor.decompress(compressed, max_bytes)
     except zlib.error as error:
         raise PlatformError(str(error)) from error
     if not decompressor.eof:
@@ -81,24 +88,30 @@
     return compress(msgspec.msgpack.encode(delta))
 
 
-def apply_delta(former: bytes, delta: bytes) -> bytes:
+def apply_delta(
+    former: bytes, delta: bytes, max_bytes: int = MAX_BODY_BYTES
+) -> bytes:
     """Return the version of a value that a delta leads to.
 
     Args:
         former: The version that it was made for.
         delta: The delta.
+        max_bytes: The largest size of a value.
 
     Raises:
         PlatformError: If the delta is malformed or was made for another one.
     """
-    decoded = _decode(delta)
-    body = SEPARATOR.join(_pieces(former.split(SEPARATOR), decoded))
-    if len(body) > MAX_BODY_BYTES or zlib.crc32(body) != decoded.checksum:
+    decoded = _decode(delta, max_bytes)
+    pieces = _pieces(former.split(SEPARATOR), decoded, max_bytes)
+    body = SEPARATOR.join(pieces)
+    if len(body) > max_bytes or zlib.crc32(body) != decoded.checksum:
         raise PlatformError('delta of another version')
     return body
 
 
-def _pieces(former_pieces: list[bytes], delta: _Delta) -> list[bytes]:
+def _pieces(
+    former_pieces: list[bytes], delta: _Delta, max_count: int
+) -> list[bytes]:
     pieces: list[bytes] = []
     for index, run in enumerate(delta.runs):
         end = run.start + run.count
@@ -106,13 +119,14 @@
             raise PlatformError('delta of another version')
         pieces += former_pieces[run.start : end]
         pieces += delta.new_pieces[index : index + 1]
-        if len(pieces) > MAX_BODY_BYTES:
+        if len(pieces) > max_count:
             raise PlatformError('delta too large')
     return pieces
 
 
-def _decode(delta: bytes) -> _Delta:
+def _decode(delta: bytes, max_value_bytes: int) -> _Delta:
+    max_bytes = max_value_bytes * MAX_DELTA_RATIO
     try:
-        return _decoder.decode(decompress(delta))
+        return _decoder.decode(decompress(delta, max_bytes))
     except (msgspec.MsgspecError, ValueError) as error:
         raise PlatformError(str(error)) from error
--- a/basilwall/fleet/value_deltas_test.py
+++ b/basilwall/fleet/value_deltas_test.py
@@ -13,6 +13,7 @@
     decompress,
     encode_delta,
 )
+from basilwall.parts.revisions import MAX_BODY_BYTES
 
 TEXTS = st.lists(
     st.sampled_from([b'{"a":1},', b'{"b":2},', b'},', b'x', b'[{', b'}]']),
@@ -69,3 +70,21 @@
     for broken in (whole[:-1], compress(b'x' * 2_000_000)):
         with pytest.raises(PlatformError):
             decompress(broken)
+
+
+@pytest.mark.parametrize('size', [MAX_BODY_BYTES - 1, MAX_BODY_BYTES])
+def test_the_largest_value_is_relayed_also_if_all_of_it_has_changed(size):
+    for body in (b'x' * size, (b'},' * size)[:size]):
+        assert decompress(compress(body)) == body
+        assert apply_delta(b'{"a":1},', encode_delta(b'{"a":1},', body)) == body
+    with pytest.raises(PlatformError):
+        decompress(compress(b'x' * (size + 2)))
+
+
+def test_a_value_is_as_large_as_the_platform_allows():
+    limit = 3 * MAX_BODY_BYTES
+    body = b'x' * limit
+    assert decompress(compress(body), limit) == body
+    assert apply_delta(b'', encode_delta(b'', body), limit) == body
+    with pytest.raises(PlatformError):
+        decompress(compress(body + b'x'), limit)
--- a/basilwall/fleet/value_versions.py
+++ b/basilwall/fleet/value_versions.py
@@ -6,12 +6,13 @@
 """
 
 import threading
+import zlib
 from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from basilwall.fleet.changes import RelayedValue, ValueForm
-from basilwall.fleet.value_deltas import compress, decompress, encode_delta
+from basilwall.fleet.value_deltas import compress, encode_delta
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.records.catalogue import PublishedValue
 
@@ -97,7 +98,9 @@
             return RelayedValue(
                 key, revision, compress(body), ValueForm.COMPRESSED
             )
-        delta = encode_delta(decompress(self._former[known]), body)
+        # What this VM compressed itself is no larger than it was.
+        former = zlib.decompress(self._former[known])
+        delta = encode_delta(former, body)
         return RelayedValue(
             key, revision, delta, ValueForm.DELTA, known.revision
         )
--- a/basilwall/fleet/value_versions_test.py
+++ b/basilwall/fleet/value_versions_test.py
@@ -7,6 +7,7 @@
 
 from basilwall.fleet.changes import ValueForm, decode_value
 from basilwall.fleet.value_versions import MAX_FORMER_VERSIONS, ValueVersions
+from basilwall.parts.revisions import MAX_BODY_BYTES
 from basilwall.records.catalogue import PublishedValue
 
 
@@ -57,3 +58,17 @@
     versions.note_change(removed)
     relayed = versions.encode(removed, {'k': 3})
     assert decode_value(relayed, {}) == removed
+
+
+def test_a_former_version_larger_than_usual_is_relayed_as_a_delta():
+    rows = json.dumps([{'name': f'{one}' * 40} for one in range(30_000)])
+    assert len(rows) > MAX_BODY_BYTES
+    former = PublishedValue('k', 1, rows.encode())
+    current = PublishedValue('k', 2, rows.encode() + b' ')
+    kept = ValueVersions()
+    for published in (former, current):
+        kept.note_change(published)
+    relayed = kept.encode(current, {'k': 1})
+    assert relayed.form == ValueForm.DELTA
+    limit = len(rows) + 1
+    assert decode_value(relayed, {'k': former}, limit) == current
--- a/basilwall/parts/revisions.py
+++ b/basilwall/parts/revisions.py
@@ -23,6 +23,7 @@
 MAX_REVISION = 9_007_199_254_740_992
 MAX_KEYS = 4096
 MAX_KEY_CHARACTERS = 256
+#: Larger values are refused, unless the platform says that they may be.
 MAX_BODY_BYTES = 1_048_576
 #: Longest part of a key that is written to a log line.
 MAX_LOGGED_CHARACTERS = 80
@@ -40,6 +41,10 @@
     return ''
 
 
+def _want_all(_: str) -> bool:
+    return True
+
+
 class RevisionRegister:
     """The newest accepted value of each key.
 
@@ -47,7 +52,21 @@
     key, size or revision is invalid. `stored` holds the values.
     """
 
-    def __init__(self, apply: Apply = accept_all) -> None:
+    def __init__(
+        self,
+        apply: Apply = accept_all,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        is_wanted: Callable[[str], bool] = _want_all,
+    ) -> None:
+        """Make an empty register.
+
+        Args:
+            apply: Puts a value in force, or refuses it.
+            max_body_bytes: The largest size of a value.
+            is_wanted: Returns whether values of a key are stored at all.
+        """
+        self._max_body_bytes = max_body_bytes
+        self._is_wanted = is_wanted
         self.malformed = 0
         self._apply = apply
         self.stored = StoredValues()
@@ -72,7 +91,9 @@
             True if the value is now stored and in force.
         """
         key, revision = published.key, published.revision
-        if len(published.body) > MAX_BODY_BYTES:
+        if not self._is_wanted(key):
+            return False
+        if len(published.body) > self._max_body_bytes:
             self._count_malformed(key)
             return False
         with self._apply_lock:
--- a/basilwall/parts/revisions_test.py
+++ b/basilwall/parts/revisions_test.py
@@ -12,6 +12,7 @@
 )
 from basilwall.parts.refusals import Refusal
 from basilwall.parts.revisions import (
+    MAX_BODY_BYTES,
     MAX_KEYS,
     MAX_REVISION,
     RevisionRegister,
@@ -196,3 +197,18 @@
     # A VM that is behind may still send what was removed.
     assert not register.offer(PublishedValue('k2', 2, b'x'))
     assert register.keys_to_request({'k2': KeyDigest(3, 0)}) == []
+
+
+def test_values_of_unwanted_keys_are_not_kept():
+    register = RevisionRegister(is_wanted=lambda key: key == 'a')
+    for key in 'ab':
+        register.offer(PublishedValue(key, 1, b'x' * 1000))
+    assert register.digest().keys() == {'a'}
+    assert not register.malformed
+
+
+def test_a_value_is_as_large_as_the_platform_allows():
+    register = RevisionRegister(max_body_bytes=2 * MAX_BODY_BYTES)
+    assert register.offer(PublishedValue('a', 1, b'x' * (2 * MAX_BODY_BYTES)))
+    too_large = b'x' * (2 * MAX_BODY_BYTES + 1)
+    assert not register.offer(PublishedValue('b', 1, too_large))
--- a/basilwall/platform/node.py
+++ b/basilwall/platform/node.py
@@ -57,6 +57,8 @@
 
 class _Store(msgspec.Struct):
     address: str
+    # Largest size of a value.
+    value_bytes: int = 1_048_576
 
 
 class _Node(msgspec.Struct):
@@ -119,6 +121,7 @@
         descriptors=node.limits.max_fds,
         link_mbps=node.limits.link_mbps,
         bounds=_bounds(node.bounds),
+        max_value_bytes=node.platform.value_bytes,
     )
 
 
--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -48,6 +48,13 @@
     def is_searcher_key(self, key: str) -> bool:
         """Return whether `key` is the key of a searcher's entry."""
 
+    def is_used_key(self, key: str) -> bool:
+        """Return whether the value of a key is of any use here.
+
+        Other writers may keep anything in the store.
+        """
+        return self.is_route_table_key(key) or self.is_searcher_key(key)
+
     @abstractmethod
     def read_route_table(self, body: bytes) -> RouteTable:
         """Decode the route table.
--- a/basilwall/settings/entry.py
+++ b/basilwall/settings/entry.py
@@ -17,8 +17,9 @@
 
     `place` holds the availability zone of this VM, `seeds` are peer addresses
     of other VMs, `relay_address` is where this VM takes requests that other VMs
-    relay to it, `descriptors` is the limit of open file descriptors and
-    `link_mbps` the width of its network link, 0 if unknown.
+    relay to it, `descriptors` is the limit of open file descriptors,
+    `link_mbps` the width of its network link, 0 if unknown, and
+    `max_value_bytes` the largest size of a value in the store.
     """
 
     name: str
@@ -34,3 +35,4 @@
     descriptors: int
     bounds: Bounds
     link_mbps: float = 0
+    max_value_bytes: int = 1_048_576
--- a/tests/documents_in_force_test.py
+++ b/tests/documents_in_force_test.py
@@ -7,6 +7,7 @@
 from tests.entry_stage import (
     BOUNDS,
     ROUTES,
+    VALUE_BYTES,
     ask,
     other_vm,
     publish_route,
@@ -107,6 +108,18 @@
     assert status_of(ask(stage.caller, request('/none/a'))) == 404
 
 
+def test_a_table_as_large_as_a_value_may_be_is_in_force(stage):
+    added = route('/new/', service='single')
+    filler = [
+        route(f'/{number}/{"x" * 3000}/', service='single')
+        for number in range(600)
+    ]
+    document = table(2, [*ROUTES, added, *filler])
+    assert VALUE_BYTES * 3 / 4 < len(document) < VALUE_BYTES
+    stage.store.put('op/config', document)
+    assert seconds_until_served(stage.caller, '/new/a') < BOUND_SECONDS
+
+
 def drain(stage):
     stage.list_searcher('single.near', 'single', state='draining')
 
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -35,6 +35,8 @@
     'header_timeout_ms': 700,
     'idle_timeout_ms': 15000,
 }
+#: More than a manifest usually has.
+VALUE_BYTES = 4_194_304
 SHARDS = ('shard-0', 'shard-1', 'shard-2', 'shard-3')
 RECORD = 16
 
@@ -315,6 +317,7 @@
             'address': ports[0],
             'reads_per_s': 2000,
             'history_s': 20,
+            'value_bytes': VALUE_BYTES,
         },
         'something_new': True,
     }
