Relay requests as large as the manifest lets callers send

A request with a head of more than 256 KiB, or a body of more than 16 MiB, was answered by the first VM and refused by the one that it was relayed to (431, 413), if the limits of the manifest are higher than that. What may be relayed is now at least what callers may send.

--- a/basilwall/entry_serving.py
+++ b/basilwall/entry_serving.py
@@ -31,6 +31,7 @@
 from basilwall.records.routes import CallerLimits
 from basilwall.relaying.codec import RelayCodec, RelayedCallerCodec
 from basilwall.relaying.connections import RelayConnections
+from basilwall.relaying.limits import relayed_limits
 from basilwall.relaying.peers import RelayPeers
 from basilwall.relaying.relay import Relay
 from basilwall.routing.announcements import Announcements
@@ -47,10 +48,6 @@
 CONNECTION_MEMORY_MB = 0.3
 #: File descriptors reserved for anything but connections.
 RESERVED_DESCRIPTORS = 400
-#: The largest relayed requests: the VM that relays one has compared it with the
-#: limits that callers are given, and these may be newer than those known here.
-MAX_RELAYED_HEAD_BYTES = 262_144
-MAX_RELAYED_BODY_BYTES = 16_777_216
 BYTES_PER_MB = 1_000_000
 #: Share of this VM's memory for replies, until their callers have them.
 REPLY_MEMORY_RATIO = 0.2
@@ -180,7 +177,7 @@
         callers,
         forwarder=Forwarder(context, reporting, rng),
         codec=RelayedCallerCodec(codec),
-        limits=partial(_relay_limits, routing_state),
+        limits=lambda: relayed_limits(_caller_limits(routing_state)),
     )
     return Serving(callers, vms, rate_limiter, links, memory)
 
@@ -228,15 +225,6 @@
     return table.limits if table else CallerLimits()
 
 
-def _relay_limits(routing_state: RoutingState) -> CallerLimits:
-    """Return the limits on relayed requests: times, and what a VM can hold."""
-    return replace(
-        _caller_limits(routing_state),
-        max_header_bytes=MAX_RELAYED_HEAD_BYTES,
-        max_body_bytes=MAX_RELAYED_BODY_BYTES,
-    )
-
-
 def _run_housekeeping(
     close_idle: Sequence[Callable[[], None]],
     retry_policy: RetryPolicy,
