Remember a content after its quarantine, and refuse it twice as long each time

A content that keeps coming ended two more searchers every 300 s: its entry expired with its quarantine, so it was a new content each time. Cause: one time served as the period of the quarantine and as the life of the evidence.

In the second one the content is suspected: it is tried alone, and one more crash is enough. The periods follow from the strikes and their ages, which VMs tell each other already, so nothing new is exchanged and what arrives late refuses nothing for longer. An innocent content is tried again after 300 s as before, and an answer clears it.

Weighed: refusing the content for as long as it keeps coming. It ends no more searchers, but a popular content that was blamed wrongly would never be served again.

In the new test a content that comes each 10 s for two hours ends 6 searchers, at most three of them late; that test, the one of the trial after a quarantine and the one of the pending strike failed before (without the change a quarantine of two crashes follows another every 300 s). The golden session of crashes ends in one searcher lost after the first quarantine, not two.

--- a/basilwall/backend/crash_tracker.py
+++ b/basilwall/backend/crash_tracker.py
@@ -123,7 +123,7 @@
         """Return the retry-after for a refused content, in milliseconds."""
         if self.suspicion_of(content) is not Suspicion.QUARANTINED:
             return MIN_RETRY_AFTER_MS
-        remaining = self._quarantine.seconds_left(content.fingerprint)
+        remaining = self._quarantine.seconds_refused(content.fingerprint)
         return max(int(remaining * MS_PER_SECOND), MIN_RETRY_AFTER_MS)
 
     def note_outcome(
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -23,8 +23,9 @@
     decode_notice,
     encode_notice,
 )
+from basilwall.parts.crash_weights import MAX_REMEMBERED_SECONDS
 from basilwall.parts.membership import Member, Membership
-from basilwall.parts.quarantine import ENTRY_TTL_SECONDS, Quarantine
+from basilwall.parts.quarantine import Quarantine
 from basilwall.records.ids import (
     Fingerprint,
     Incarnation,
@@ -227,7 +228,7 @@
 
 
 def _strike_from_wire(wire: _WireStrike) -> Strike:
-    has_age = 0 <= wire.seconds_ago <= ENTRY_TTL_SECONDS
+    has_age = 0 <= wire.seconds_ago <= MAX_REMEMBERED_SECONDS
     return Strike(
         IncidentId(wire.incident),
         SearcherAddress(wire.searcher),
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -156,7 +156,7 @@
             return 0
         content = fingerprint_of(call)
         if self._quarantine.suspicion_of(content) is Suspicion.QUARANTINED:
-            return self._quarantine.seconds_left(content)
+            return self._quarantine.seconds_refused(content)
         entry = self._quarantine.entry_of(content)
         if entry is None or not entry.is_undecided(self._clock.monotonic()):
             return 0
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -2,19 +2,19 @@
 
 A strike records that the connection to a searcher was lost while the searcher
 ran a request content. After the first strike the content is suspect. After two
-crashes of searchers that died, it is not run until its entry expires. A strike
-does not count if another replica of the same part answered the content, or if
-another content explains the loss: one with a strike for the same crash and at
-least the same total weight.
+crashes of searchers that died, it is not run for a period; each further crash
+doubles the period. After it the content is suspect again, until its entry
+expires. A strike does not count if another replica of the same part answered
+the content, or if another content explains the loss: one with a strike for the
+same crash and at least the same total weight.
 
 Contents are identified by their fingerprint.
 """
 
 import threading
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import replace
 from enum import Enum
-from functools import partial
 
 from basilwall.parts.clock import Clock
 from basilwall.parts.content_index import ContentIndex
@@ -23,29 +23,22 @@
     ContentStrikes,
     DatedStrike,
     is_answer_by_same_part,
-    total_weight,
+)
+from basilwall.parts.crash_weights import (
+    MAX_REMEMBERED_SECONDS,
+    QUARANTINE_WEIGHT,
+    CrashWeights,
 )
 from basilwall.records.ids import Fingerprint, SearcherAddress, ServiceName
 from basilwall.records.strike import NO_SERVICE, Evidence, Strike
 
-#: Time after its last strike until an entry expires.
+#: Time after its last strike until an entry expires, at least.
 ENTRY_TTL_SECONDS = 300.0
 MAX_ENTRIES = 10_000
-#: Total weight that quarantines a content: two searchers that died, or four
-#: that only lost the connection.
-QUARANTINE_WEIGHT = 4
 #: How long a content is reported to other VMs after its last strike was
 #: cleared.
 REPORT_CLEARED_SECONDS = 10.0
 
-_WEIGHT_BY_EVIDENCE = {
-    Evidence.PENDING: 1,
-    Evidence.SPARED: 0,
-    Evidence.LOST: 1,
-    Evidence.DIED: 2,
-    Evidence.DOUBTED: 1,
-    Evidence.CLEARED: 0,
-}
 #: Evidence after the content was answered by a searcher of another part.
 _EVIDENCE_AFTER_ANSWER = {
     Evidence.SPARED: Evidence.CLEARED,
@@ -92,7 +85,7 @@
                 may run on all of them. 0 if a content runs on one at a time.
         """
         self._clock = clock
-        self._moment_seconds = moment_seconds
+        self._weights = CrashWeights(moment_seconds)
         self._index = ContentIndex(max_entries)
         self._lock = threading.RLock()
 
@@ -118,7 +111,7 @@
             True if a strike was new or its evidence changed.
         """
         now = self._clock.monotonic()
-        expires_at = now + min(ttl_seconds, ENTRY_TTL_SECONDS)
+        expires_at = now + min(ttl_seconds, MAX_REMEMBERED_SECONDS)
         with self._lock:
             self._index.remove_expired(now)
             entry = self._index.get(fingerprint)
@@ -129,7 +122,11 @@
                 for strike in strikes
             ]
             if any(changes):
-                entry.expires_at = max(entry.expires_at, expires_at)
+                entry.expires_at = max(
+                    entry.expires_at,
+                    expires_at,
+                    self._weights.remembered_until(entry.crashes()),
+                )
                 entry.changed_at = now
                 self._index.put(entry)
         return any(changes)
@@ -171,17 +168,16 @@
             crashes = entry.crashes() if entry else []
             if not entry or not crashes:
                 return Suspicion.NONE
-            weigh_expected = partial(_weight_if_died, self._clock.monotonic())
-            if self._total_weight(crashes, weigh_expected) < QUARANTINE_WEIGHT:
+            now = self._clock.monotonic()
+            if self._weights.expected(crashes, now) < QUARANTINE_WEIGHT:
                 return Suspicion.SUSPECT
-            unexplained = [
-                crash
-                for crash in crashes
-                if not self._has_other_cause(entry, crash)
-            ]
-        if self._total_weight(unexplained) >= QUARANTINE_WEIGHT:
+            unexplained = self._unexplained(entry)
+        weight = self._weights.total(unexplained)
+        is_refused = now < self._weights.refused_until(unexplained, now)
+        if weight >= QUARANTINE_WEIGHT and is_refused:
             return Suspicion.QUARANTINED
-        if self._total_weight(unexplained, weigh_expected) >= QUARANTINE_WEIGHT:
+        expected = self._weights.expected(unexplained, now)
+        if expected > weight and expected >= QUARANTINE_WEIGHT:
             return Suspicion.AWAITING_VERDICT
         return Suspicion.SUSPECT
 
@@ -219,6 +215,14 @@
             and crash.lost_at > died_after
         }
 
+    def seconds_refused(self, fingerprint: Fingerprint) -> float:
+        """Return how much longer a content in quarantine is not run."""
+        with self._lock:
+            entry = self.entry_of(fingerprint)
+            unexplained = self._unexplained(entry) if entry else []
+        now = self._clock.monotonic()
+        return max(self._weights.refused_until(unexplained, now) - now, 0)
+
     def seconds_left(self, fingerprint: Fingerprint) -> float:
         """Return the time until a content's entry expires, 0 if it has none."""
         entry = self._index.get(fingerprint)
@@ -253,7 +257,7 @@
         return sorted(
             relevant,
             key=lambda entry: (
-                self._total_weight(entry.crashes()) >= QUARANTINE_WEIGHT
+                self._weights.total(entry.crashes()) >= QUARANTINE_WEIGHT
             ),
         )
 
@@ -262,28 +266,22 @@
         with self._lock:
             return entry.strikes_at(self._clock.monotonic())
 
-    def _has_other_cause(
-        self, entry: ContentStrikes, crash: DatedStrike
-    ) -> bool:
-        """Return whether another content explains the crash of a searcher.
+    def _unexplained(self, entry: ContentStrikes) -> list[DatedStrike]:
+        """Return the crashes that no other content explains, by time.
 
-        That is a content with at least the same total weight and a strike for
+        That would be one with at least the same total weight and a strike for
         the same crash.
         """
-        weight = self._total_weight(entry.crashes())
-        for other in self._index.on_same_searcher(entry, crash.strike.searcher):
-            crashes = other.crashes()
-            is_as_heavy = self._total_weight(crashes) >= weight
-            if is_as_heavy and any(map(crash.is_same_crash, crashes)):
-                return True
-        return False
-
-    def _total_weight(
-        self,
-        crashes: list[DatedStrike],
-        weigh: Callable[[DatedStrike], int] | None = None,
-    ) -> int:
-        return total_weight(crashes, weigh or _weight, self._moment_seconds)
+        weight = self._weights.total(entry.crashes())
+        return [
+            crash
+            for crash in entry.crashes()
+            if not any(
+                self._weights.total(others) >= weight
+                and any(map(crash.is_same_crash, others))
+                for others in _crashes_beside(self._index, entry, crash)
+            )
+        ]
 
 
 def count_quarantined(quarantine: Quarantine) -> int:
@@ -306,12 +304,9 @@
     return replace(strike, evidence=evidence)
 
 
-def _weight(crash: DatedStrike) -> int:
-    return _WEIGHT_BY_EVIDENCE[crash.strike.evidence]
-
-
-def _weight_if_died(now: float, crash: DatedStrike) -> int:
-    """Return the weight of a crash if a pending strike proves right."""
-    if crash.is_undecided(now):
-        return _WEIGHT_BY_EVIDENCE[Evidence.DIED]
-    return _weight(crash)
+def _crashes_beside(
+    index: ContentIndex, entry: ContentStrikes, crash: DatedStrike
+) -> Iterator[list[DatedStrike]]:
+    """Yield the crashes under each other content of the same searcher."""
+    for other in index.on_same_searcher(entry, crash.strike.searcher):
+        yield other.crashes()
--- a/basilwall/parts/quarantine_test.py
+++ b/basilwall/parts/quarantine_test.py
@@ -62,3 +62,59 @@
             'crashing', [Strike(f'{number}', 'only', Evidence.DIED)]
         )
     assert quarantine.suspicion_of('crashing') is Suspicion.QUARANTINED
+
+
+def test_a_content_that_keeps_coming_ends_ever_fewer_searchers():
+    clock = ManualClock()
+    quarantine = Quarantine(clock)
+    crashed_at = []
+    end_at = clock.monotonic() + 2 * 3600
+    while clock.monotonic() < end_at:
+        clock.advance(10)
+        if quarantine.suspicion_of('deadly') is Suspicion.QUARANTINED:
+            assert quarantine.seconds_refused('deadly') > 0
+            continue
+        crashed_at.append(clock.monotonic())
+        number = len(crashed_at)
+        quarantine.strike(
+            'deadly', [Strike(f'{number}', f's{number}', Evidence.DIED)]
+        )
+    late = [at for at in crashed_at if at > crashed_at[2] + 5]
+    assert len(late) <= 3
+
+
+def test_a_content_is_tried_alone_after_its_quarantine():
+    clock = ManualClock()
+    quarantine = Quarantine(clock)
+    for searcher in 'ab':
+        quarantine.strike('x', [Strike(searcher, searcher, Evidence.DIED)])
+    clock.advance(quarantine.seconds_refused('x') - 1)
+    assert quarantine.suspicion_of('x') is Suspicion.QUARANTINED
+    clock.advance(2)
+    assert quarantine.suspicion_of('x') is Suspicion.SUSPECT
+    quarantine.strike('x', [Strike('c', 'c', Evidence.DIED)])
+    assert quarantine.suspicion_of('x') is Suspicion.QUARANTINED
+    clock.advance(10 * quarantine.seconds_refused('x'))
+    assert quarantine.suspicion_of('x') is Suspicion.NONE
+
+
+def test_a_pending_strike_after_a_quarantine_awaits_its_verdict():
+    clock = ManualClock()
+    quarantine = Quarantine(clock)
+    for searcher in 'ab':
+        quarantine.strike('x', [Strike(searcher, searcher, Evidence.DIED)])
+    clock.advance(quarantine.seconds_refused('x') + 1)
+    quarantine.strike('x', [Strike('c', 'c', Evidence.PENDING)])
+    assert quarantine.suspicion_of('x') is Suspicion.AWAITING_VERDICT
+
+
+def test_strikes_that_arrive_late_refuse_a_content_no_longer():
+    clock = ManualClock()
+    first, other = Quarantine(clock), Quarantine(clock)
+    for searcher in 'ab':
+        first.strike('x', [Strike(searcher, searcher, Evidence.DIED)])
+    clock.advance(100)
+    (entry,) = first.entries()
+    other.strike('x', first.aged_strikes(entry), first.seconds_left('x'))
+    assert other.seconds_refused('x') == first.seconds_refused('x')
+    assert other.seconds_left('x') == first.seconds_left('x')
--- a/tests/crashes_golden_test.py
+++ b/tests/crashes_golden_test.py
@@ -53,7 +53,7 @@
 
 
 def session():
-    """Return the lines of a session from the first crash to the expiry."""
+    """Return the lines of a session until after the first quarantine."""
     world = LoggedWorld()
     crashing, (innocent, unlucky, *_) = CRASHING[0], INNOCENT
     world.send(0, innocent)
@@ -66,7 +66,7 @@
         world.send(vm, crashing)
     world.send(2, unlucky)
     world.clock.advance(ENTRY_TTL_SECONDS - LATE)
-    world.log('the quarantine has expired')
+    world.log('the first quarantine has ended')
     world.send(1, crashing)
     return world.session
 
