Take one crash for the second while crashes before it may be forgotten

Cause: strikes live in the memory of the VMs and are told by gossip, and a quarantine needs two crashes. The first one after the loss of all can't be avoided; the second can: a VM knows how far back its own strikes reach and, from gossip, those of the others. Now messages carry that age, and a VM that joins others inherits it with their strikes. While it is under 300 s, one crash is enough, if the searcher died alone, no other content was lost with it, and no searcher had answered the request. Only new requests are refused, for 150 s (verdict `presumed`): a request under way that may be repeated is retried as before, and its answer clears the content.

Ruled out: VMs that are killed in turn or singly (they kept the quarantine before, and inherit the age now; a test joins one). test_each_loss_of_all_vms_lets_a_content_end_one_more_searcher failed before. An innocent query whose searcher ends is answered, also again.

--- a/basilwall/entry_vm.py
+++ b/basilwall/entry_vm.py
@@ -47,6 +47,7 @@
 from basilwall.parts.quarantine import Quarantine, count_quarantined
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.parts.stop_signals import set_on_stop_signals
+from basilwall.parts.strike_memory import StrikeMemory
 from basilwall.parts.tasks import TaskGroup, task_group
 from basilwall.platform.codec import StoreValueReader
 from basilwall.platform.node import read_node_file, settings_path
@@ -259,7 +260,11 @@
         link_mbps=settings.link_mbps,
     )
     membership = Membership(own, clock, settings.seeds)
-    quarantine = Quarantine(clock, moment_seconds=OUTAGE_MOMENT_SECONDS)
+    quarantine = Quarantine(
+        clock,
+        moment_seconds=OUTAGE_MOMENT_SECONDS,
+        memory=StrikeMemory(clock),
+    )
     messages = GossipMessages(membership, quarantine, rng)
     gossip = HttpGossip(messages, tasks, rng)
     return Fleet(membership, quarantine, gossip, tasks)
@@ -318,6 +323,11 @@
         'Request contents that are refused, as they crash searchers.',
         partial(count_quarantined, fleet.quarantine),
     )
+    add(
+        'strikes_known_seconds',
+        'For how long all strikes against request contents are known here.',
+        lambda: fleet.quarantine.memory.seconds,
+    )
     add(
         'reply_memory_bytes',
         'Memory of replies, until their callers have them.',
--- a/basilwall/fleet/gossip_messages.py
+++ b/basilwall/fleet/gossip_messages.py
@@ -72,6 +72,7 @@
     process: str = ''
     service: str = ''
     follows_loss: bool = False
+    is_unanswered: bool = False
 
 
 class _WireContent(msgspec.Struct, array_like=True):
@@ -88,6 +89,8 @@
     revision: int = 0
     limits: tuple[WireLimit, ...] = ()
     leaving: tuple[WireLeaving, ...] = ()
+    # How far back the sender knows of all strikes.
+    memory_seconds: float = 0
 
 
 _decoder = msgspec.msgpack.Decoder(_GossipMessage)
@@ -164,6 +167,7 @@
             self.own_revision(),
             tuple(map(encode_notice, self.rate_limit_notices())),
             tuple(map(encode_leaving, self.leaving_notices())),
+            self.quarantine.memory.seconds,
         )
         return msgspec.msgpack.encode(decoded)
 
@@ -185,6 +189,11 @@
             self.membership.record_mention(_from_wire(member))
         for content in decoded.contents[:MAX_CONTENTS]:
             self._apply_content(content)
+        if self.quarantine.memory.inherit(decoded.memory_seconds):
+            _log.info(
+                'earlier strikes are known from VM',
+                extra={'vm': decoded.sender.address},
+            )
         for limit in decoded.limits[:MAX_LIMITS]:
             self.apply_rate_limit(decode_notice(limit))
         self.apply_leaving(tuple(map(decode_leaving, decoded.leaving)))
@@ -224,6 +233,7 @@
         strike.process,
         strike.service,
         strike.follows_loss,
+        strike.is_unanswered,
     )
 
 
@@ -237,6 +247,7 @@
         ProcessId(wire.process),
         ServiceName(wire.service),
         wire.follows_loss,
+        wire.is_unanswered,
     )
 
 
--- a/basilwall/forwarding/content_trial.py
+++ b/basilwall/forwarding/content_trial.py
@@ -108,7 +108,7 @@
         if any(subrequest.success for subrequest in tried):
             return True
         # Other VMs may have lost searchers under it meanwhile.
-        return not self._context.crash_detector.seconds_refused(self._call)
+        return self._context.crash_detector.refusal_of(self._call) is None
 
     def _in_order(self, first_attempts: FirstAttempts) -> FirstAttempts:
         """Sort first attempts so that VMs near each other begin alike.
--- a/basilwall/forwarding/content_trial_test.py
+++ b/basilwall/forwarding/content_trial_test.py
@@ -28,8 +28,8 @@
         self.prepared = []
         self.refused_seconds = 0
 
-    def seconds_refused(self, _):
-        return self.refused_seconds
+    def refusal_of(self, _):
+        return self.refused_seconds or None
 
     def prepare_connection(self, searcher):
         self.prepared.append(searcher.service)
--- a/basilwall/forwarding/crash_detection.py
+++ b/basilwall/forwarding/crash_detection.py
@@ -16,12 +16,12 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from basilwall.backend.loss_classifier import LossClassifier, LostSearcher
 from basilwall.backend.strike_review import OUTAGE_SECONDS, StrikeReview
-from basilwall.forwarding.crash_detector import CrashDetector
+from basilwall.forwarding.crash_detector import ContentRefusal, CrashDetector
 from basilwall.forwarding.recent_losses import (
     RUN_JITTER_SECONDS,
     RecentLoss,
@@ -39,6 +39,7 @@
     LossReason,
     Lost,
     Reply,
+    Verdict,
 )
 from basilwall.records.ids import (
     Fingerprint,
@@ -56,6 +57,13 @@
 #: Time after which it is known why a searcher was lost.
 UNDECIDED_SECONDS = 1.0
 
+_VERDICT_BY_SUSPICION = {
+    Suspicion.PRESUMED: Verdict.PRESUMED,
+    Suspicion.QUARANTINED: Verdict.QUARANTINED,
+}
+#: A request that is under way with such a content goes on at one searcher.
+_TRIED_ALONE = frozenset((Suspicion.SUSPECT, Suspicion.PRESUMED))
+
 _log = logging.getLogger(__name__)
 
 
@@ -65,7 +73,8 @@
 
     It may have run the request for `run_seconds`; less than 0 if it ended
     before the request can have reached it. `is_trial` says whether the request
-    was at few searchers only; `follows_loss` is as in `Strike`.
+    was at few searchers only; `follows_loss` and `is_unanswered` are as in
+    `Strike`.
     """
 
     call: Call
@@ -75,6 +84,7 @@
     run_seconds: float
     is_trial: bool
     follows_loss: bool
+    is_unanswered: bool
 
     @property
     def lost_searcher(self) -> LostSearcher:
@@ -135,7 +145,7 @@
 
     def is_suspected(self, call: Call) -> bool:
         """Return whether searchers were lost under a request's content."""
-        return self._suspicion_of(call) is Suspicion.SUSPECT
+        return self._suspicion_of(call) in _TRIED_ALONE
 
     def least_struck(self, call: Call, services: Sequence[ServiceName]) -> int:
         """Return which service lost the fewest searchers under a content."""
@@ -150,17 +160,20 @@
         ]
         return equals[zlib.crc32(fingerprint_of(call).encode()) % len(equals)]
 
-    def seconds_refused(self, call: Call) -> float:
-        """Return for how long a request's content is refused, in seconds."""
+    def refusal_of(self, call: Call) -> ContentRefusal | None:
+        """Return why new requests of a content are refused, None if not."""
         if not len(self._quarantine):
-            return 0
+            return None
         content = fingerprint_of(call)
-        if self._quarantine.suspicion_of(content) is Suspicion.QUARANTINED:
-            return self._quarantine.seconds_refused(content)
+        suspicion = self._quarantine.suspicion_of(content)
+        verdict = _VERDICT_BY_SUSPICION.get(suspicion)
+        if verdict is not None:
+            seconds = self._quarantine.seconds_refused(content)
+            return ContentRefusal(verdict, seconds)
         entry = self._quarantine.entry_of(content)
         if entry is None or not entry.is_undecided(self._clock.monotonic()):
-            return 0
-        return UNDECIDED_SECONDS
+            return None
+        return ContentRefusal(Verdict.UNDECIDED, UNDECIDED_SECONDS)
 
     def note_outcome(
         self,
@@ -169,13 +182,16 @@
         outcome: AttemptResult,
         *,
         is_trial: bool = False,
+        is_unanswered: bool = False,
     ) -> None:
         """Record the outcome of an attempt that was not abandoned."""
         if isinstance(outcome, Reply) and outcome.is_success:
             self._note_answer(call, attempt.searcher)
         elif isinstance(outcome, Lost):
             loss = self._make_loss(call, attempt, is_trial=is_trial)
-            self._note_loss(loss, outcome.reason)
+            self._note_loss(
+                replace(loss, is_unanswered=is_unanswered), outcome.reason
+            )
 
     def _suspicion_of(self, call: Call) -> Suspicion:
         if not len(self._quarantine):
@@ -218,6 +234,7 @@
             or _is_repeated_later(
                 self._quarantine.entry_of(content), sent_at, run_seconds
             ),
+            is_unanswered=False,
         )
 
     def _note_loss(self, loss: _Loss, reason: LossReason) -> None:
@@ -292,6 +309,7 @@
             ProcessId(f'{searcher.searcher_id}/{searcher.started_ms}'),
             searcher.service,
             loss.follows_loss,
+            loss.is_unanswered,
         )
         self._quarantine.strike(loss.content, [strike])
         self.on_change()
--- a/basilwall/forwarding/crash_detection_test.py
+++ b/basilwall/forwarding/crash_detection_test.py
@@ -116,7 +116,7 @@
         self.detector.note_outcome(sent, attempt, reply)
 
     def is_refused(self):
-        return self.detector.seconds_refused(call()) > 0
+        return self.detector.refusal_of(call()) is not None
 
     def is_quarantined(self):
         (entry,) = self.quarantine.entries()
--- a/basilwall/forwarding/crash_detector.py
+++ b/basilwall/forwarding/crash_detector.py
@@ -2,12 +2,21 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from basilwall.forwarding.transport import Attempt
-from basilwall.records.forwarding import AttemptResult, Call
+from basilwall.records.forwarding import AttemptResult, Call, Verdict
 from basilwall.records.ids import ServiceName
 
 
+@dataclass(frozen=True, slots=True)
+class ContentRefusal:
+    """Why new requests of a content are refused, and for how many seconds."""
+
+    verdict: Verdict
+    seconds: float
+
+
 class CrashDetector(ABC):
     """Decides whether a request's content crashes searchers."""
 
@@ -32,13 +41,8 @@
         """
 
     @abstractmethod
-    def seconds_refused(self, call: Call) -> float:
-        """Return for how long a request's content is refused, in seconds.
-
-        Returns:
-            How long it stays in quarantine. A short time if a searcher was
-            lost under it and nobody knows yet why. 0 if it may run.
-        """
+    def refusal_of(self, call: Call) -> ContentRefusal | None:
+        """Return why new requests of a content are refused, None if not."""
 
     @abstractmethod
     def note_outcome(
@@ -48,6 +52,7 @@
         outcome: AttemptResult,
         *,
         is_trial: bool = False,
+        is_unanswered: bool = False,
     ) -> None:
         """Record the outcome of an attempt that was not abandoned.
 
@@ -57,4 +62,5 @@
             outcome: How it ended.
             is_trial: Whether the request was at few searchers only, as none
                 had answered it yet.
+            is_unanswered: Whether no searcher had answered the request yet.
         """
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -292,7 +292,11 @@
         if not self._context.are_links_lost():
             detector = self._context.crash_detector
             detector.note_outcome(
-                self._call, attempt, outcome, is_trial=self._canary.is_trial
+                self._call,
+                attempt,
+                outcome,
+                is_trial=self._canary.is_trial,
+                is_unanswered=not any(one.success for one in self.subrequests),
             )
         if subrequest.has_ended:
             return
--- a/basilwall/forwarding/execution_test.py
+++ b/basilwall/forwarding/execution_test.py
@@ -132,7 +132,7 @@
     def least_struck(self, *_):
         return 0
 
-    def note_outcome(self, *_, is_trial):
+    def note_outcome(self, *_, is_trial, is_unanswered):
         self.trials.append(is_trial)
 
 
--- a/basilwall/forwarding/forwarder.py
+++ b/basilwall/forwarding/forwarder.py
@@ -304,15 +304,10 @@
 
     def _refuse_quarantined(self, call: Call) -> Answer | None:
         """Refuse a request whose content crashes searchers, or may do so."""
-        crash_detector = self._context.crash_detector
-        seconds = crash_detector.seconds_refused(call)
-        if not seconds:
+        refused = self._context.crash_detector.refusal_of(call)
+        if refused is None:
             return None
-        is_quarantined = crash_detector.is_quarantined(call)
-        return self._answers.refusal(
-            Verdict.QUARANTINED if is_quarantined else Verdict.UNDECIDED,
-            seconds,
-        )
+        return self._answers.refusal(refused.verdict, refused.seconds)
 
 
 @contextmanager
--- a/basilwall/parts/quarantine.py
+++ b/basilwall/parts/quarantine.py
@@ -29,6 +29,7 @@
     QUARANTINE_WEIGHT,
     CrashWeights,
 )
+from basilwall.parts.strike_memory import StrikeMemory
 from basilwall.records.ids import Fingerprint, SearcherAddress, ServiceName
 from basilwall.records.strike import NO_SERVICE, Evidence, Strike
 
@@ -51,6 +52,8 @@
 
     NONE: no uncleared strikes; the content may run anywhere.
     SUSPECT: a searcher was lost under the content.
+    PRESUMED: a searcher died under the content alone, and crashes before that
+    may be unknown here; only a request that is under way may go on with it.
     AWAITING_VERDICT: the content becomes QUARANTINED if the searchers with
     pending strikes turn out to have died.
     QUARANTINED: the content is not run.
@@ -58,10 +61,15 @@
 
     NONE = 'none'
     SUSPECT = 'suspect'
+    PRESUMED = 'presumed'
     AWAITING_VERDICT = 'awaited'
     QUARANTINED = 'quarantined'
 
 
+#: Contents of which new requests are refused.
+_NOT_RUN = frozenset((Suspicion.PRESUMED, Suspicion.QUARANTINED))
+
+
 class Quarantine:
     """Strikes by content fingerprint.
 
@@ -74,6 +82,7 @@
         clock: Clock,
         max_entries: int = MAX_ENTRIES,
         moment_seconds: float = 0,
+        memory: StrikeMemory | None = None,
     ) -> None:
         """Make a quarantine without any strikes.
 
@@ -83,7 +92,9 @@
             moment_seconds: Crashes under one content within this time count as
                 one: an outage takes several searchers at once, and a content
                 may run on all of them. 0 if a content runs on one at a time.
+            memory: How far back all strikes are known; None if always.
         """
+        self.memory = memory or StrikeMemory(clock, is_blank=False)
         self._clock = clock
         self._weights = CrashWeights(moment_seconds)
         self._index = ContentIndex(max_entries)
@@ -169,7 +180,8 @@
             if not entry or not crashes:
                 return Suspicion.NONE
             now = self._clock.monotonic()
-            if self._weights.expected(crashes, now) < QUARANTINE_WEIGHT:
+            is_light = self._weights.expected(crashes, now) < QUARANTINE_WEIGHT
+            if is_light and self.memory.is_complete:
                 return Suspicion.SUSPECT
             unexplained = self._unexplained(entry)
         weight = self._weights.total(unexplained)
@@ -179,6 +191,9 @@
         expected = self._weights.expected(unexplained, now)
         if expected > weight and expected >= QUARANTINE_WEIGHT:
             return Suspicion.AWAITING_VERDICT
+        is_presumed = is_refused and any(map(_is_telling, unexplained))
+        if is_presumed and not self.memory.is_complete:
+            return Suspicion.PRESUMED
         return Suspicion.SUSPECT
 
     def struck_searchers(
@@ -287,7 +302,7 @@
 def count_quarantined(quarantine: Quarantine) -> int:
     """Return how many contents are not run."""
     return sum(
-        quarantine.suspicion_of(entry.fingerprint) is Suspicion.QUARANTINED
+        quarantine.suspicion_of(entry.fingerprint) in _NOT_RUN
         for entry in quarantine.entries()
     )
 
@@ -304,6 +319,12 @@
     return replace(strike, evidence=evidence)
 
 
+def _is_telling(crash: DatedStrike) -> bool:
+    """Return whether one crash tells something of the content alone."""
+    strike = crash.strike
+    return strike.evidence is Evidence.DIED and strike.is_unanswered
+
+
 def _crashes_beside(
     index: ContentIndex, entry: ContentStrikes, crash: DatedStrike
 ) -> Iterator[list[DatedStrike]]:
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -137,12 +137,13 @@
 
     PASSED_ON is a searcher's failure that was forwarded to the caller, NO_ROUTE
     and NO_TABLE a request without a matching route or before the first table.
-    RELAYED is the answer of another VM, NOT_TAKEN a request that another VM
-    relayed to this one, which can't serve it. STOPPING is a request that came
-    too late in a planned stop. UNDECIDED is a request whose content has just
-    lost a searcher. FAILED is one that an unforeseen error of this VM ended
-    before it was sent anywhere. UNUSABLE_ROUTE is one whose route, if it has
-    one, is published in a form that this VM can't use.
+    PRESUMED is one whose content may have ended searchers before, as far as
+    this VM can know. RELAYED is the answer of another VM, NOT_TAKEN a request
+    that another VM relayed to this one, which can't serve it. STOPPING is one
+    that came too late in a planned stop. UNDECIDED is one whose content has
+    just lost a searcher. FAILED is one that an unforeseen error of this VM
+    ended before it was sent anywhere. UNUSABLE_ROUTE is one whose route, if it
+    has one, is published in a form that this VM can't use.
     """
 
     ANSWERED = 'answered'
@@ -154,6 +155,7 @@
     NOT_RUN = 'not_run'
     QUARANTINED = 'quarantined'
     UNDECIDED = 'undecided'
+    PRESUMED = 'presumed'
     TOO_FEW_SHARDS = 'too_few_shards'
     LOST = 'lost'
     TIMEOUT = 'timeout'
--- a/basilwall/records/strike.py
+++ b/basilwall/records/strike.py
@@ -43,6 +43,7 @@
     True if the content was sent to the searcher after another one had been
     lost under it, and ran there for about as long as before; or if both
     searchers were lost that it was tried at, before any answered it.
+    `is_unanswered` is True if no searcher had answered the request by then.
     """
 
     incident: IncidentId
@@ -52,3 +53,4 @@
     process: ProcessId = UNKNOWN_PROCESS
     service: ServiceName = NO_SERVICE
     follows_loss: bool = False
+    is_unanswered: bool = False
--- a/basilwall/simulation/no_crashes.py
+++ b/basilwall/simulation/no_crashes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from basilwall.forwarding.crash_detector import CrashDetector
+from basilwall.forwarding.crash_detector import ContentRefusal, CrashDetector
 from basilwall.forwarding.transport import Attempt
 from basilwall.records.forwarding import AttemptResult, Call
 from basilwall.records.ids import ServiceName
@@ -23,9 +23,8 @@
         """Return the first."""
         return 0
 
-    def seconds_refused(self, call: Call) -> float:
-        """Return 0."""
-        return 0
+    def refusal_of(self, call: Call) -> ContentRefusal | None:
+        """Refuse nothing."""
 
     def note_outcome(
         self,
@@ -34,5 +33,6 @@
         outcome: AttemptResult,
         *,
         is_trial: bool = False,
+        is_unanswered: bool = False,
     ) -> None:
         """Ignore the outcome of an attempt."""
--- a/tests/crashing_content_test.py
+++ b/tests/crashing_content_test.py
@@ -201,3 +201,57 @@
         path = '/one/often' if number % 2 else f'/one/{number}'
         answers.append(ask(caller, request(path, f'id-{number}')))
         time.sleep(0.02)
+
+
+def crash_once(stage, number, path):
+    """Send the content as a request that may run once."""
+    answer = ask(stage.caller, crash(number, path))
+    time.sleep(REPEAT_SECONDS)
+    return answer
+
+
+def test_each_loss_of_all_vms_lets_a_content_end_one_more_searcher(tmp_path):
+    with staged(tmp_path) as stage, restarts(stage) as restarting:
+        for lives in range(1, 4):
+            answers = [
+                crash_once(stage, number, '/once/') for number in range(4)
+            ]
+            assert_refused(answers[-1])
+            assert len(restarting.ended) <= lives
+            innocent = request('/once/innocent', method='POST')
+            wait_until(
+                lambda one=innocent: status_of(ask(stage.caller, one)) == 200
+            )
+            stage.lose_vm()
+
+
+def test_a_vm_that_joins_others_does_not_presume_what_they_would_know(
+    tmp_path,
+):
+    folder = tmp_path / 'other'
+    folder.mkdir()
+    with staged(tmp_path) as stage:
+        stage.vm.fleet.quarantine.memory.inherit(1000)
+        with other_vm(stage, folder) as other:
+            joined = other.vm.fleet.quarantine.memory
+            wait_until(lambda: joined.is_complete)
+            with restarts(stage) as restarting:
+                answers = [
+                    ask(other.caller, crash(0, '/once/')),
+                    ask(other.caller, crash(1, '/once/')),
+                ]
+                assert not any(map(is_refused_for_long, answers))
+                wait_until(lambda: len(restarting.ended) == 2)
+
+
+def test_a_query_whose_searcher_ends_by_itself_is_answered_and_not_refused(
+    tmp_path,
+):
+    with staged(tmp_path) as stage:
+        unlucky = stage.searcher_by_id['single.near']
+        unlucky.crash.content = b'unlucky'
+        first = ask(stage.caller, request('/one/unlucky', 'first'))
+        assert unlucky.crash.has_ended
+        assert status_of(first) == 200
+        again = ask(stage.caller, request('/one/unlucky', 'again'))
+        assert status_of(again) == 200
--- a/tests/entry_stage.py
+++ b/tests/entry_stage.py
@@ -106,6 +106,7 @@
         default_factory=dict
     )
     vm: EntryVm | None = None
+    vm_stack: contextlib.ExitStack = field(default_factory=contextlib.ExitStack)
     starts_by_id: Counter = field(default_factory=Counter)
 
     def list_searcher(self, searcher_id, service, state='ready', zone='near'):
@@ -154,6 +155,18 @@
             if one.has_run
         ]
 
+    def lose_vm(self):
+        """End the VM and start another one, which knows nothing of it."""
+        self.vm_stack.close()
+        self.start_vm()
+
+    def start_vm(self):
+        """Start a VM at the addresses of the stage."""
+        self.vm_stack = contextlib.ExitStack()
+        current = CurrentSettings(self.node_file, read_node_file)
+        self.vm = self.vm_stack.enter_context(running_entry(current))
+        wait_until(lambda: is_ready(self.ready))
+
 
 def ask(address, request, timeout=10):
     """Send raw bytes on a new connection and read until it ends."""
@@ -230,9 +243,8 @@
         for number, service in enumerate(services):
             for zone in ZONES:
                 _add_searcher(stage, stack, service, zone, next(free), number)
-        current = CurrentSettings(settings_file, read_node_file)
-        stage.vm = stack.enter_context(running_entry(current))
-        wait_until(lambda: is_ready(stage.ready))
+        stage.start_vm()
+        stack.callback(lambda: stage.vm_stack.close())
         yield stage
 
 
@@ -256,6 +268,7 @@
 
     caller: str
     way_to_store: Forwarder
+    vm: EntryVm
 
 
 @contextlib.contextmanager
@@ -272,9 +285,9 @@
         seed = json.loads(stage.node_file.read_text())['listen']['control']
         settings_file = node_file(folder, [ports[5], *ports[1:5]], seed)
         current = CurrentSettings(settings_file, read_node_file)
-        stack.enter_context(running_entry(current))
+        vm = stack.enter_context(running_entry(current))
         wait_until(lambda: is_ready(ports[2]))
-        yield OtherVm(ports[1], way)
+        yield OtherVm(ports[1], way, vm)
 
 
 def is_ready(address):
