Take a status line that is none for no reply, in one place for all clients

A searcher in trouble that answered with status 000 kept its caller waiting until the deadline: the message was taken for an interim response, so nothing was tried again and the caller got 504. Other numbers that are no status (099, 600, 700, 999) and other protocols (HTTP/2.0, HTTP/0.9, RTSP/1.0) reached callers as answers, with the digest; of a request that may run once and of failures that are passed on.

Cause: the parser in C takes any three digits and several protocols, and our code compared the status with 200 only. Now parts/http_status.py says which statuses are those of a response (100 to 599, and no switch to another protocol), for the reader of searchers' replies, of parts and of relayed answers, and for the client of `basilwall serve`. A message that is none ends the connection: a request that may be repeated goes to another searcher at once, one that may run once ends with 502 at once.

Looked at and left: the clients of the store and of other VMs take 200 and 410 and no other status for an answer, and http.client refuses what is below 100; liveness is probed by connections only.

On the way: garbage was treated like a searcher that ended, so the retry of a part waited until another part had answered. It has not ended, so the retry goes at once.

--- a/basilwall/backend/minimal_http.py
+++ b/basilwall/backend/minimal_http.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
+from basilwall.parts.http_status import StatusKind, kind_of_status
+
 MAX_HEAD_LINES = 64
 MAX_LINE_BYTES = 8192
 _VERSIONS = {'HTTP/1.0': 10, 'HTTP/1.1': 11}
@@ -30,7 +32,8 @@
         while status == HTTPStatus.CONTINUE:
             self._read_head()
             version, status = self._read_line()
-        if version not in _VERSIONS or status < HTTPStatus.OK:
+        is_final = kind_of_status(status) is StatusKind.FINAL
+        if version not in _VERSIONS or not is_final:
             raise http.client.HTTPException(
                 'malformed or unsupported status line'
             )
--- a/basilwall/backend/minimal_http_test.py
+++ b/basilwall/backend/minimal_http_test.py
@@ -108,3 +108,10 @@
 def test_header_with_unsendable_characters_is_an_error(wrong):
     with pytest.raises(ValueError):
         _posted([('A', wrong)], b'')
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'101', b'600', b'999'])
+def test_a_status_that_is_none_is_an_error(status):
+    raw = b'HTTP/1.1 %b X\r\nContent-Length: 0\r\n\r\n' % status
+    with pytest.raises(http.client.HTTPException):
+        _read(MinimalHttpResponse, raw)
--- a/basilwall/forwarding/execution.py
+++ b/basilwall/forwarding/execution.py
@@ -27,7 +27,6 @@
     RULES_BY_RETRY_SAFETY,
     ResultKind,
     RetryRule,
-    classify,
     describe_result,
     rule_for,
 )
@@ -39,6 +38,7 @@
     AttemptResult,
     Call,
     LossReason,
+    Lost,
     Reply,
 )
 from basilwall.records.ids import SearcherId
@@ -313,8 +313,7 @@
         self._add_step(subrequest, outcome.searcher, describe_result(outcome))
         if rule.may_retry and subrequest.numbers_by_attempt:
             return
-        is_lost = classify(outcome) is ResultKind.LOST
-        if is_lost and rule.may_retry:
+        if rule.may_retry and _is_cut(outcome):
             self._canary.note_loss(subrequest)
             return
         # The attempt may end at once, and the subrequest with it.
@@ -367,6 +366,14 @@
     trail.add(Step(elapsed, subrequest.service, searcher, event))
 
 
+def _is_cut(outcome: AttemptResult) -> bool:
+    """Return whether a searcher may have ended under the request.
+
+    One that sends what is no reply has not.
+    """
+    return isinstance(outcome, Lost) and outcome.reason is LossReason.CUT
+
+
 def _late_after(
     hedge_delay: HedgeDelay, stats: SearcherStats, attempt: Attempt
 ) -> float:
--- a/basilwall/forwarding/reply_messages.py
+++ b/basilwall/forwarding/reply_messages.py
@@ -9,6 +9,12 @@
 
 import httptools
 
+from basilwall.forwarding.protocol_check import ProtocolCheck
+from basilwall.parts.http_status import (
+    VERSIONS,
+    StatusKind,
+    kind_of_status,
+)
 from basilwall.records.forwarding import ReplyHead
 
 #: Largest accepted head of a reply, and trailers of one.
@@ -17,8 +23,6 @@
 HEADER_COST_BYTES = 300
 #: Interim responses and replies to other requests that are skipped.
 MAX_SKIPPED_MESSAGES = 16
-#: Lower statuses are interim responses, which precede the final one.
-FIRST_FINAL_STATUS = 200
 HEADER_WHITESPACE = b' \t'
 #: A buffer that grows reserves this share more than it needs.
 GROWTH_RATIO = 1.125
@@ -67,6 +71,9 @@
         self._parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
         )
+        self._protocol_check = ProtocolCheck()
+        #: Why the head of a message is none.
+        self._invalid = ''
 
     @property
     def body_capacity(self) -> int:
@@ -85,10 +92,12 @@
         if self._parser is None:
             return 'the reply has ended'
         self.size += len(chunk)
+        if not self._protocol_check.accepts(chunk):
+            return 'not an HTTP response'
         try:
             self._parser.feed_data(chunk)
         except PARSER_ERRORS as error:
-            return str(error) or 'not an HTTP response'
+            return self._invalid or str(error) or 'not an HTTP response'
         return ''
 
     def make_room(self, size: int) -> None:
@@ -158,12 +167,16 @@
         if self.is_complete or self._parser is None:
             return
         status = self._parser.get_status_code()
+        kind = kind_of_status(status)
+        version = self._parser.get_http_version()
+        if kind is StatusKind.INVALID or version not in VERSIONS:
+            self._invalid = f'no response: status {status}, HTTP/{version}'
+            raise ValueError(self._invalid)
         self.head = ReplyHead(status, self._reason, tuple(self._headers))
         self._headers = []
         self._header_bytes = 0
-        self._is_own = status >= FIRST_FINAL_STATUS and self._is_own_reply(
-            self.head
-        )
+        is_final = kind is StatusKind.FINAL
+        self._is_own = is_final and self._is_own_reply(self.head)
         if not self._is_own:
             return
         if self._has_body:
--- a/basilwall/forwarding/reply_reader_test.py
+++ b/basilwall/forwarding/reply_reader_test.py
@@ -269,3 +269,50 @@
         assert reply_reader.feed(stream) is None
     with pytest.raises(InvalidReplyError):
         reply_reader.feed(b'')
+
+
+REST = b'\r\nRequest-Id: own\r\nContent-Length: 3\r\n\r\nabc'
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'HTTP/1.1 000 X',
+        b'HTTP/1.1 000',
+        b'HTTP/1.1 001 X',
+        b'HTTP/1.1 099 X',
+        b'HTTP/1.1 101 X',
+        b'HTTP/1.1 600 X',
+        b'HTTP/1.1 999 X',
+        b'HTTP/1.1 00 X',
+        b'HTTP/1.1 2000 X',
+        b'HTTP/2.0 200 OK',
+        b'HTTP/0.9 200 OK',
+        b'RTSP/1.0 200 OK',
+    ],
+)
+@given(cuts=st.lists(st.integers(0, 80), max_size=4))
+def test_a_message_whose_status_line_is_none_is_no_reply(line, cuts):
+    with pytest.raises(InvalidReplyError):
+        feed(reader(), line + REST, cuts)
+
+
+@pytest.mark.parametrize('interim', [b'000', b'099', b'101', b'600'])
+def test_what_is_no_response_precedes_no_reply(interim):
+    before = b'HTTP/1.1 %b X\r\nContent-Length: 0\r\n\r\n' % interim
+    with pytest.raises(InvalidReplyError):
+        feed(reader(), before + OWN, [])
+
+
+@pytest.mark.parametrize('status', [200, 204, 299, 404, 503, 599])
+def test_any_final_status_is_that_of_a_reply(status):
+    line = b'HTTP/1.1 %d' % status
+    parsed, _ = feed(reader(), line + REST, [])
+    assert parsed.head.status == status
+
+
+@given(cuts=st.lists(st.integers(0, 80), max_size=4))
+def test_ends_of_lines_and_interim_responses_precede_a_reply(cuts):
+    stream = b'\r\nHTTP/1.1 103 X\r\n\r\n' + OWN
+    parsed, _ = feed(reader(), stream, cuts)
+    assert parsed.body == b'abc'
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -73,6 +73,7 @@
     ENDLESS_CHUNKS = 'endless_chunks'
     ENDLESS_TRAILERS = 'endless_trailers'
     CRASH = 'crash'
+    STATUS_LINE = 'status_line'
 
 
 #: The connection is closed after these.
@@ -139,11 +140,13 @@
         is_leaving: Whether all its answers say that it is leaving.
         retry_after_seconds: What it adds to refusals, None for nothing.
         rate_limit: The requests per second that all its answers name, or None.
+        status_line: The first line of its answers with `STATUS_LINE`.
     """
 
     is_leaving: bool = False
     retry_after_seconds: float | None = None
     rate_limit: float | None = None
+    status_line: bytes = b''
 
 
 @dataclass(slots=True)
@@ -296,6 +299,8 @@
             return False
         response = self._response(behaviour, request_id)
         status_line, _, rest = response.partition(b'\r\n')
+        if behaviour is Behaviour.STATUS_LINE:
+            status_line = self.announced.status_line
         more = self._announcements(behaviour)
         connection.sendall(b'\r\n'.join([status_line, *more, rest]))
         return behaviour not in _CLOSING_BEHAVIOURS
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import deque
 
 import pytest
 
@@ -157,6 +158,48 @@
     assert len(stage.seen('single')) == 1
 
 
+ODD_STATUS_LINES = (b'HTTP/1.1 000 X', b'HTTP/1.1 700 X', b'HTTP/2.0 200 OK')
+#: Far below the deadline of the requests.
+SOON_SECONDS = 0.6
+
+
+def answer_oddly(stage, service, line, count):
+    """Let the next requests of a service get a status line of no response."""
+    conducts = deque([Behaviour.STATUS_LINE] * count)
+    for searcher_id, searcher in stage.searcher_by_id.items():
+        if searcher_id.startswith(f'{service}.'):
+            searcher.next_behaviours = conducts
+            searcher.announced.status_line = line
+
+
+@pytest.mark.parametrize('line', ODD_STATUS_LINES)
+@pytest.mark.parametrize(
+    ('service', 'path'), [('single', '/one/a'), ('shard-1', '/all/q')]
+)
+def test_a_searcher_whose_status_is_none_is_replaced_at_once(
+    stage, line, service, path
+):
+    answer_oddly(stage, service, line, count=1)
+    (end,) = stage.ends(request(path))
+    assert end.verdict == 'answered'
+    (spoiled,) = [step for step in end.trail if f' {service} ' in step]
+    assert 'lost: spoiled' in spoiled
+    assert not end.hedges
+
+
+@pytest.mark.parametrize('line', ODD_STATUS_LINES)
+def test_a_request_that_may_run_once_ends_at_once_if_the_status_is_none(
+    stage, line
+):
+    answer_oddly(stage, 'single', line, count=9)
+    began = time.monotonic()
+    answer = ask(stage.caller, request('/once/a', method='POST', body=b'x'))
+    assert time.monotonic() - began < SOON_SECONDS
+    assert status_of(answer) == 502
+    assert b'server-stamp' not in split(answer)[0]
+    assert len(stage.seen('single')) == 1
+
+
 def test_only_what_did_not_run_is_refused_as_not_run(stage):
     conduct_of_all(stage, 'single', Behaviour.SHED)
     answer = ask(stage.caller, request('/once/a', method='POST', body=b'x'))
