Send nothing to a searcher's new process that was meant for its former one

Cause, as the claim says: requests that may run once wait for the connection to a silent searcher. When it is back they are sent, as the check right before the first byte compares ids only, and the same check made new statistics for the former process under that id, so the rest that the new process had just asked for was forgotten, by this attempt and for all that followed. Now a process that has started under the id since is another searcher, so such an attempt has not run and another searcher is picked; and statistics of a former process replace none of the listed one.

The two new tests failed before. Same cause looked for: pools of connections (they compare processes), announcements relayed by VMs (likewise). Left: a rest that the new process asks for before its entry is read here counts for the former one, and ends when the entry comes.

--- a/basilwall/routing/routing_state.py
+++ b/basilwall/routing/routing_state.py
@@ -21,6 +21,7 @@
 from basilwall.records.searcher import (
     Searcher,
     SearcherProcess,
+    is_same_process,
     process_of,
 )
 from basilwall.routing.leaving_processes import LeavingProcesses
@@ -135,11 +136,20 @@
         return self.addresses()
 
     def is_usable(self, searcher: Searcher) -> bool:
-        """Return whether a searcher may still get new requests."""
+        """Return whether a searcher may still get new requests.
+
+        Args:
+            searcher: As it was listed when it was chosen; a process that has
+                started under its id since then is another searcher.
+        """
         if self._hold_ends_by_key:
             self._remove_expired_holds()
         listed = self._searchers_by_id.get(searcher.searcher_id)
-        return listed is not None and not listed.is_leaving
+        return (
+            listed is not None
+            and not listed.is_leaving
+            and is_same_process(listed, searcher)
+        )
 
     def all_searchers(self) -> Mapping[SearcherId, Searcher]:
         """Return all listed searchers, including leaving ones."""
--- a/basilwall/routing/routing_state_test.py
+++ b/basilwall/routing/routing_state_test.py
@@ -234,3 +234,14 @@
     routing_state.record_leaving(process_of(searcher), age=1.0)
     publish(3, 'servers/i-1', entry(born=1))
     assert not ids(routing_state)
+
+
+def test_a_searcher_that_was_chosen_before_its_restart_is_not_usable(setup):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry())
+    (chosen,) = routing_state.searchers('s')
+    assert routing_state.is_usable(chosen)
+    publish(2, 'servers/i-1', entry(born=9))
+    assert not routing_state.is_usable(chosen)
+    (current,) = routing_state.searchers('s')
+    assert routing_state.is_usable(current)
--- a/basilwall/routing/selection.py
+++ b/basilwall/routing/selection.py
@@ -197,7 +197,10 @@
             )
 
     def stats_of(self, searcher: Searcher) -> SearcherStats:
-        """Return the statistics of a searcher, new ones if it restarted."""
+        """Return the statistics of a searcher, new ones if it restarted.
+
+        Those of a former process are kept no longer than its attempts last.
+        """
         existing = self._stats_by_id.get(searcher.searcher_id)
         round_trip = self._round_trips.to_zone(searcher.zone)
         if existing is not None and (
@@ -207,8 +210,15 @@
             existing.round_trip = round_trip
             return existing
         created = SearcherStats(searcher, self._clock, round_trip)
-        with self._lock:
-            self._stats_by_id[searcher.searcher_id] = created
+        if existing is None:
+            with self._lock:
+                return self._stats_by_id.setdefault(
+                    searcher.searcher_id, created
+                )
+        listed = self._routing_state.all_searchers().get(searcher.searcher_id)
+        if is_same_process(listed, searcher):
+            with self._lock:
+                self._stats_by_id[searcher.searcher_id] = created
         return created
 
     def forget_unlisted(self) -> None:
--- a/basilwall/routing/selection_test.py
+++ b/basilwall/routing/selection_test.py
@@ -145,6 +145,19 @@
     assert selector.pick('s', ()) is not None
 
 
+def test_an_attempt_at_a_former_process_ends_no_rest_of_the_new_one():
+    former, current = searcher('a', OWN_ZONE), searcher('a', OWN_ZONE, 2)
+    selector, _, routing_state = make(former)
+    selector.stats_of(former)
+    routing_state.by_id['a'] = current
+    selector.stats_of(current).record_rest(4)
+    selector.stats_of(former).record_refusal()
+    assert selector.stats_of(current).rest_seconds_left == 4
+    routing_state.by_id.clear()
+    selector.stats_of(former).record_refusal()
+    assert selector.stats_of(current).rest_seconds_left == 4
+
+
 def test_a_service_whose_searchers_accept_no_connection_is_not_tried_again():
     clock = ManualClock()
     both = searcher('near', OWN_ZONE), searcher('far', 'z3')
