Remember each process that leaves, also if others tell of a former one

VMs tell each other for 30 s of a process that the store has not reported, here the first one; each such notice took the place of the second process, so the entry `ready` of the copy was not recognised as older. Processes are kept by id, address and start now, 4,096 of them as before.

The new test failed before.

--- a/basilwall/routing/leaving_processes.py
+++ b/basilwall/routing/leaving_processes.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 
 from basilwall.parts.clock import Clock
-from basilwall.records.ids import SearcherId
 from basilwall.records.searcher import (
     Searcher,
     SearcherProcess,
@@ -36,13 +35,17 @@
 
 
 class LeavingProcesses:
-    """The latest process of each searcher that has said that it leaves."""
+    """The processes that have said that they leave, the latest ones.
+
+    Of one searcher there may be several: another VM may tell of a former one
+    after a later one has said so.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
         self._has_new_notices = False
-        self._by_id: OrderedDict[SearcherId, SearcherProcess] = OrderedDict()
+        self._processes: OrderedDict[SearcherProcess, None] = OrderedDict()
         #: When a process said so that the platform does not list as leaving.
         self._said_at_by_process: OrderedDict[SearcherProcess, float] = (
             OrderedDict()
@@ -50,17 +53,15 @@
 
     def __contains__(self, searcher: Searcher) -> bool:
         """Return whether this process has said that it leaves."""
-        process = process_of(searcher)
-        return self._by_id.get(process.searcher_id) == process
+        return process_of(searcher) in self._processes
 
     def add(self, process: SearcherProcess) -> bool:
         """Add a process; False if it had been added before."""
-        if self._by_id.get(process.searcher_id) == process:
+        if process in self._processes:
             return False
-        self._by_id[process.searcher_id] = process
-        self._by_id.move_to_end(process.searcher_id)
-        if len(self._by_id) > MAX_PROCESSES:
-            self._by_id.popitem(last=False)
+        self._processes[process] = None
+        if len(self._processes) > MAX_PROCESSES:
+            self._processes.popitem(last=False)
         return True
 
     def note_unreported(self, process: SearcherProcess, age: float) -> None:
--- a/basilwall/routing/routing_state_test.py
+++ b/basilwall/routing/routing_state_test.py
@@ -245,3 +245,17 @@
     assert not routing_state.is_usable(chosen)
     (current,) = routing_state.searchers('s')
     assert routing_state.is_usable(current)
+
+
+def test_a_notice_of_a_former_process_hides_no_later_one_that_leaves(setup):
+    routing_state, publish, _ = setup
+    publish(1, 'servers/i-1', entry(born=5))
+    (former,) = routing_state.searchers('s')
+    routing_state.record_leaving(process_of(former))
+    publish(2, 'servers/i-1', entry(born=9))
+    publish(3, 'servers/i-1', entry('draining', born=9))
+    # Another VM still tells of the former one.
+    routing_state.record_leaving(process_of(former))
+    # The store came back from a copy.
+    publish(4, 'servers/i-1', entry(born=9))
+    assert not routing_state.searchers('s')
