--- a/basilwall/platform/route_documents.py
+++ b/basilwall/platform/route_documents.py
@@ -4,6 +4,7 @@
 refused, the other routes are in force.
 """
 
+import logging
 from collections import defaultdict
 from typing import Any
 
@@ -27,6 +28,8 @@
 #: Higher limits on requests mean the same as this one.
 MAX_LIMIT = 2_147_483_648
 
+_log = logging.getLogger(__name__)
+
 _Routes = list[Route | UnusableRoute]
 
 
@@ -79,12 +82,18 @@
     services = entries.decode_all('service', _decode_service, wire.services)
     limits = entries.decode('limits', _decode_limits, wire.limits)
     entries.log_skipped()
+    is_complete = all(placed)
+    if not is_complete:
+        _log.warning(
+            'routes without a place; no path is known to have no route',
+            extra={'version': wire.version, 'routes': placed.count(None)},
+        )
     return RouteTable(
         wire.version,
         _by_host([route for route in placed if route]),
         dict(services),
         limits or CallerLimits(),
-        is_complete=all(placed),
+        is_complete=is_complete,
     )
 
 
--- a/basilwall/platform/route_entries.py
+++ b/basilwall/platform/route_entries.py
@@ -5,7 +5,6 @@
 """
 
 import hashlib
-import logging
 
 import msgspec
 
@@ -13,7 +12,6 @@
     DECODE_ERRORS,
     MS_PER_SECOND,
     UnreadableValueError,
-    cut_for_log,
 )
 from basilwall.records.ids import RouteName, ServiceName
 from basilwall.records.routes import (
@@ -29,8 +27,6 @@
 #: Characters of the digest that keeps cut names apart.
 DIGEST_CHARACTERS = 12
 
-_log = logging.getLogger(__name__)
-
 
 class _Backend(msgspec.Struct):
     service: str
@@ -102,11 +98,8 @@
     try:
         place = _place_decoder.decode(entry)
         return UnusableRoute(place.host.lower(), place.prefix.encode())
-    except DECODE_ERRORS as error:
-        _log.warning(
-            'route without a place; no path is known to have no route',
-            extra={'reason': cut_for_log(str(error))},
-        )
+    except DECODE_ERRORS:
+        # The route itself has been logged as not usable.
         return None
 
 
