--- a/basilwall/routing/routing_state_test.py
+++ b/basilwall/routing/routing_state_test.py
@@ -11,6 +11,7 @@
 from basilwall.parts.clock import ManualClock
 from basilwall.parts.revisions import RevisionRegister
 from basilwall.platform.codec import StoreValueReader
+from basilwall.platform.route_documents_test import document, route
 from basilwall.records.catalogue import PublishedValue
 from basilwall.records.searcher import process_of
 from basilwall.routing.routing_state import (
@@ -18,36 +19,10 @@
     RoutingState,
 )
 
-LIMITS = {
-    'max_header_bytes': 16384,
-    'max_body_bytes': 262144,
-    'header_timeout_ms': 3000,
-    'idle_timeout_ms': 15000,
-}
-
 
 def table(version, *prefixes):
-    routes = [
-        {
-            'name': f'r{prefix}',
-            'host': 'h.example',
-            'prefix': prefix,
-            'type': 'idempotent',
-            'timeout_ms': 1000,
-            'target_latency_ms': 100,
-            'max_attempts': 2,
-            'priority': 1,
-            'service': 's',
-        }
-        for prefix in prefixes
-    ]
-    content = {
-        'version': version,
-        'routes': routes,
-        'services': [{'name': 's', 'max_conns': 26}],
-        'limits': LIMITS,
-    }
-    return json.dumps(content).encode()
+    routes = (route(prefix, name=f'r{prefix}') for prefix in prefixes)
+    return document(*routes, version=version)
 
 
 def entry(state='ready', **fields):
