List all keys after a reply to a watch that can't be used

What callers would see: nothing new counts, for good. A watch is asked again from the same revision, and the same reply comes again: one that is malformed, or larger than the 32 MiB that are read (more than 24 versions of a value of 1 MB while a VM was frozen or cut off, say).

Now the next read is a listing, page by page, and the cursor goes on from there. A store that is down or refuses calls is watched as before, since a listing costs more. The comment at the latest start of a searcher named a wrong year.

--- a/basilwall/configuration/client.py
+++ b/basilwall/configuration/client.py
@@ -12,6 +12,10 @@
     """The platform could not be read; the values read before stay in force."""
 
 
+class UnusableReplyError(PlatformError):
+    """The platform answered, but the reply can't be used."""
+
+
 class WatchReply(msgspec.Struct, frozen=True):
     """The values above the requested revision.
 
--- a/basilwall/configuration/long_poll.py
+++ b/basilwall/configuration/long_poll.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from basilwall.configuration.client import PlatformError
+from basilwall.configuration.client import PlatformError, UnusableReplyError
 from basilwall.configuration.http_call import (
     HTTP_OK,
     CallPurpose,
@@ -25,7 +25,10 @@
     ReadBody,
 )
 from basilwall.configuration.kept_connections import KeptConnections
-from basilwall.configuration.limited_read import read_body
+from basilwall.configuration.limited_read import (
+    ResponseTooLargeError,
+    read_body,
+)
 from basilwall.configuration.open_calls import OpenCalls
 from basilwall.parts.clock import Clock
 
@@ -109,6 +112,7 @@
         Raises:
             PlatformError: If the server can't be reached, refuses the cheap
                 read, or answers nothing for long.
+            UnusableReplyError: If the response is too large.
         """
         began_at = self._clock.monotonic()
         try:
@@ -145,7 +149,7 @@
                     self._kept.keep(call, response)
                     return response
                 self._use_check(call, response, poll)
-        raise PlatformError(repr(self._calls.last_error))
+        raise _failure(self._calls.last_error)
 
     def _begin_first(self, poll: Poll) -> None:
         kept = self._kept.take(CallPurpose.READ)
@@ -224,3 +228,9 @@
             'platform answers again',
             extra={'seconds': round(seconds, 2), 'calls': self.call_count},
         )
+
+
+def _failure(error: Exception | None) -> PlatformError:
+    is_too_large = isinstance(error, ResponseTooLargeError)
+    error_class = UnusableReplyError if is_too_large else PlatformError
+    return error_class(repr(error))
--- a/basilwall/platform/store.py
+++ b/basilwall/platform/store.py
@@ -19,6 +19,7 @@
 from basilwall.configuration.client import (
     PlatformError,
     PlatformReader,
+    UnusableReplyError,
     WatchReply,
 )
 from basilwall.configuration.http_call import HTTP_OK, CallResponse
@@ -73,6 +74,8 @@
         #: Items, and epochs of responses, that could not be used so far.
         self.unusable_count = 0
         self._logged_epoch = ''
+        #: Whether the changes since a revision came in a reply of no use.
+        self._must_list = False
 
     @property
     def call_count(self) -> int:
@@ -88,37 +91,45 @@
 
         Returns:
             The changes, or a complete listing if nothing is known, the store
-            no longer has the changes since then, or it came back from a copy.
+            no longer has the changes since then, it came back from a copy, or
+            the last reply with changes could not be used.
 
         Raises:
             PlatformError: If the store can't be reached or its reply is
                 invalid.
         """
-        if after == NO_REVISION:
+        if after == NO_REVISION or self._must_list:
             reply = self._list_all(after)
+            self._must_list = False
         else:
             reply = self._read_changes(after)
         was_silent = self._calls.take_was_silent()
         return msgspec.structs.replace(reply, was_silent=was_silent)
 
     def _read_changes(self, after: Revision) -> WatchReply:
+        try:
+            response = self._get(self._poll_for_changes(after))
+            epoch = self._epoch_of(response, after.epoch)
+            if epoch != after.epoch or response.status == HTTP_GONE:
+                return self._list_all(after)
+            changes = decode_changes(response, epoch)
+        except UnusableReplyError:
+            # The same reply would come again.
+            self._must_list = True
+            raise
+        self.unusable_count += changes.unusable
+        return WatchReply(changes.revision, changes.values)
+
+    def _poll_for_changes(self, after: Revision) -> Poll:
         path = f'/v1/kv-watch?prefix=&after={after.number}&wait_ms='
         wait_ms = int(self._watch_seconds * MS_PER_SECOND)
-        response = self._get(
-            Poll(
-                f'{path}{wait_ms}',
-                f'{path}0',
-                CHECK_PATH,
-                self._watch_seconds,
-                partial(_is_ahead, after),
-            )
+        return Poll(
+            f'{path}{wait_ms}',
+            f'{path}0',
+            CHECK_PATH,
+            self._watch_seconds,
+            partial(_is_ahead, after),
         )
-        epoch = self._epoch_of(response, after.epoch)
-        if epoch != after.epoch or response.status == HTTP_GONE:
-            return self._list_all(after)
-        changes = decode_changes(response, epoch)
-        self.unusable_count += changes.unusable
-        return WatchReply(changes.revision, changes.values)
 
     def _list_all(self, after: Revision) -> WatchReply:
         """List all keys.
--- a/basilwall/platform/store_replies.py
+++ b/basilwall/platform/store_replies.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from basilwall.configuration.client import PlatformError
+from basilwall.configuration.client import PlatformError, UnusableReplyError
 from basilwall.configuration.http_call import HTTP_OK, CallResponse
 from basilwall.platform.decoding import DECODE_ERRORS, cut_for_log
 from basilwall.records.catalogue import PublishedValue
@@ -101,7 +101,8 @@
         epoch: Its epoch.
 
     Raises:
-        PlatformError: If it is refused or is no page.
+        PlatformError: If it is refused.
+        UnusableReplyError: If it is no page.
     """
     page = _decode(_page_decoder, response)
     return _stored_items(page.items, Revision(epoch, page.at), page.has_more)
@@ -115,7 +116,8 @@
         epoch: Its epoch.
 
     Raises:
-        PlatformError: If it is refused or holds no changes.
+        PlatformError: If it is refused.
+        UnusableReplyError: If it does not hold changes.
     """
     changes = _decode(_changes_decoder, response)
     return _stored_items(changes.events, Revision(epoch, changes.at))
@@ -188,7 +190,7 @@
     try:
         decoded = decoder.decode(_with_valid_text(response.body))
     except DECODE_ERRORS as error:
-        raise PlatformError(f'reply not usable: {error}') from error
+        raise UnusableReplyError(f'reply not usable: {error}') from error
     _log.warning('odd response of the store', extra={'error': str(first_error)})
     return decoded
 
--- a/basilwall/platform/store_test.py
+++ b/basilwall/platform/store_test.py
@@ -2,10 +2,12 @@
 
 import math
 import random
+from functools import partial
 
 import pytest
 
-from basilwall.configuration.client import PlatformError
+from basilwall.configuration.client import PlatformError, UnusableReplyError
+from basilwall.configuration.limited_read import read_body
 from basilwall.configuration.transfer_progress import TransferProgress
 from basilwall.parts.clock import SystemClock
 from basilwall.platform.store import HttpStoreClient
@@ -35,6 +37,8 @@
     )
 
 
+#: The most that is read of a reply, where a test sets it.
+MAX_READ_BYTES = 40_000
 #: About the largest integers of other programs, and far beyond.
 LARGE_NUMBERS = (10**11, 2**53, 2**63, 2**64, 10**40)
 
@@ -208,3 +212,34 @@
     lines = [one.message for one in caplog.records]
     assert lines.count('invalid epoch of the store') == 1
     assert client.unusable_count == 3
+
+
+def test_changes_count_though_the_reply_to_a_watch_cannot_be_used(
+    store, client, monkeypatch
+):
+    store.put('a', b'1')
+    known = client.watch(NO_REVISION).revision
+    monkeypatch.setattr(store, 'watch', lambda *_: {'events': [], 'at': 'x'})
+    store.put('a', b'2')
+    with pytest.raises(UnusableReplyError):
+        client.watch(known)
+    reply = client.watch(known)
+    assert (reply.is_whole, bodies(reply)) == (True, {'a': b'2'})
+    monkeypatch.undo()
+    store.put('a', b'3')
+    assert not client.watch(reply.revision).is_whole
+
+
+def test_changes_count_though_they_are_too_large_for_one_reply(
+    store, client, monkeypatch
+):
+    store.put('a', b'1')
+    known = client.watch(NO_REVISION).revision
+    limited = partial(read_body, limit=MAX_READ_BYTES)
+    monkeypatch.setattr('basilwall.platform.store.read_body', limited)
+    large = bytes(MAX_READ_BYTES // 4)
+    for _ in range(4):
+        store.put('a', large)
+    with pytest.raises(UnusableReplyError):
+        client.watch(known)
+    assert bodies(client.watch(known)) == {'a': large}
--- a/basilwall/platform/values.py
+++ b/basilwall/platform/values.py
@@ -32,7 +32,7 @@
 
 #: Higher numbers of slots mean the same as this one.
 MAX_SLOTS = 65_536
-#: Later starts are refused as invalid; the year 2255.
+#: A Unix millisecond that lies later is no time of a start.
 MAX_UNIX_MS = 9_007_199_254_740_992
 #: No searcher is slow for longer after its start.
 MAX_WARMUP_SECONDS = 3600.0
