Log a connection to an endpoint that fails as one line

What operators saw: a connection that is reset at the address of other VMs and operators left an unformatted traceback in a VM's output, where each line is JSON. Cause: socketserver's own handle_error prints it. Now one line says the peer and the error, with the traceback as a field if the error is our own, ten in a second at most. The other servers of the product are not socketserver's.

A manifest's version that no float holds ended each scrape of the metrics; such an integer is now shown as +Inf.

--- a/basilwall/operators/endpoints.py
+++ b/basilwall/operators/endpoints.py
@@ -4,6 +4,8 @@
 keep this VM busy.
 """
 
+import logging
+import sys
 import threading
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
@@ -11,6 +13,9 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
+from basilwall.parts.clock import SystemClock
+from basilwall.parts.log_limit import LogLimit
+
 HTTP_NOT_FOUND = 404
 HTTP_TOO_LARGE = 413
 SHUTDOWN_POLL_SECONDS = 0.5
@@ -26,6 +31,9 @@
 #: Endpoints by path; the one at FALLBACK_PATH serves all other paths.
 Endpoints = Mapping[str, Endpoint]
 FALLBACK_PATH = ''
+MAX_FAILURES_LOGGED_PER_SECOND = 10
+
+_log = logging.getLogger(__name__)
 
 
 @contextmanager
@@ -63,6 +71,30 @@
     allow_reuse_address = True
     request_queue_size = ACCEPT_QUEUE_LENGTH
 
+    def __init__(self, address: tuple[str, int], handler: Any) -> None:
+        super().__init__(address, handler)
+        self._log_limit = LogLimit(
+            MAX_FAILURES_LOGGED_PER_SECOND, SystemClock()
+        )
+
+    def handle_error(self, _: Any, client_address: Any) -> None:
+        """Log why a connection ended, in place of a bare traceback."""
+        error = sys.exception()
+        not_logged_before = self._log_limit.take()
+        if not_logged_before is None:
+            return
+        level = logging.INFO if isinstance(error, OSError) else logging.ERROR
+        _log.log(
+            level,
+            'connection to an endpoint failed',
+            exc_info=level == logging.ERROR,
+            extra={
+                'peer': ':'.join(map(str, client_address[:2])),
+                'error': repr(error),
+                'not_logged_before': not_logged_before,
+            },
+        )
+
 
 class _EndpointHandler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
--- a/basilwall/operators/prometheus_metrics.py
+++ b/basilwall/operators/prometheus_metrics.py
@@ -1,7 +1,9 @@
 """Metrics in Prometheus text form, for the platform's collector."""
 
+import math
 import threading
 from collections.abc import Callable
+from functools import partial
 
 from prometheus_client import (
     CollectorRegistry,
@@ -90,9 +92,12 @@
     def add_gauge(
         self, name: str, description: str, read: Callable[[], float]
     ) -> None:
-        """Add a gauge whose value is read at each scrape."""
+        """Add a gauge whose value is read at each scrape.
+
+        An integer that no float holds is shown as infinite.
+        """
         gauge = Gauge(f'basilwall_{name}', description, registry=self._registry)
-        gauge.set_function(read)
+        gauge.set_function(partial(_read_as_float, read))
 
     def scrape(self, _: bytes) -> tuple[int, bytes]:
         """Return the status and the body of the metrics endpoint."""
@@ -106,3 +111,10 @@
                 return OVERFLOW_ROUTE
             self._labelled_routes.add(route)
         return route
+
+
+def _read_as_float(read: Callable[[], float]) -> float:
+    try:
+        return float(read())
+    except OverflowError:
+        return math.inf
