Bound what a register stores by its size, not by 4,096 keys

What callers would see: searchers beyond 4,096 keys below the prefix, removed ones among them, are never used and a new one is unknown to every VM; other writers' entries count too.

Values of new keys are refused once all values, with 512 bytes for each, take 64 MiB, and refusals are counted in the same sum; known keys are always changed. The former bound let 4,096 values of 1 MB in, 4 GB on a VM of 300 MB.

--- a/basilwall/parts/refusals.py
+++ b/basilwall/parts/refusals.py
@@ -11,6 +11,8 @@
 
 #: Longest part of a reason that is stored.
 MAX_REASON_CHARACTERS = 500
+#: Memory of the refusal of a key, with its longest reason.
+REFUSAL_BYTES = 4096
 #: Locally refused revisions stored for each key, the highest ones.
 MAX_REFUSED_PER_KEY = 8
 
@@ -33,6 +35,11 @@
         self.by_key: dict[str, Refusal] = {}
         self._locally_refused_by_key: dict[str, tuple[Revision, ...]] = {}
 
+    @property
+    def size_bytes(self) -> int:
+        """Memory of all refusals at most, about."""
+        return len(self.by_key) * REFUSAL_BYTES
+
     def record_local(self, key: str, revision: Revision, reason: str) -> None:
         """Record that this VM refused a revision."""
         stored = self._locally_refused_by_key.get(key, ())
--- a/basilwall/parts/revisions.py
+++ b/basilwall/parts/revisions.py
@@ -20,7 +20,8 @@
 from basilwall.records.catalogue import PublishedValue
 from basilwall.records.revision import NO_REVISION, Revision
 
-MAX_KEYS = 4096
+#: Values of new keys are refused beyond this, a fifth of a VM's memory.
+MAX_STORED_BYTES = 67_108_864
 MAX_KEY_CHARACTERS = 256
 #: Larger values are refused, unless the platform says that they may be.
 MAX_BODY_BYTES = 1_048_576
@@ -48,7 +49,8 @@
     """The newest accepted value of each key.
 
     `malformed` counts the values and refusals that were dropped because their
-    key, size or revision is invalid. `stored` holds the values.
+    key, size or revision is invalid, or there is no room for another key.
+    `stored` holds the values.
     """
 
     def __init__(
@@ -190,7 +192,8 @@
     def _is_acceptable(self, key: str, revision: Revision) -> bool:
         stored, refused = self.stored.by_key, self._refusals.by_key
         is_known = key in stored or key in refused
-        has_room = is_known or len(stored) + len(refused) < MAX_KEYS
+        size_bytes = self.stored.size_bytes + self._refusals.size_bytes
+        has_room = is_known or size_bytes < MAX_STORED_BYTES
         has_valid_key = 0 < len(key) <= MAX_KEY_CHARACTERS
         return has_room and has_valid_key and revision.is_valid
 
--- a/basilwall/parts/stored_values.py
+++ b/basilwall/parts/stored_values.py
@@ -11,6 +11,8 @@
 
 #: Removed keys that are remembered; beyond this the older half is forgotten.
 MAX_REMOVED_KEYS = 1024
+#: Memory of a stored value beside its key and its body.
+ENTRY_BYTES = 512
 
 
 class StoredValues:
@@ -18,6 +20,8 @@
 
     def __init__(self) -> None:
         self.by_key: dict[str, PublishedValue] = {}
+        #: Memory of all values, about.
+        self.size_bytes = 0
         #: Highest revision of a removed key that is forgotten.
         self.forgotten_revision = NO_REVISION
         self._removed_revision_by_key: dict[str, Revision] = {}
@@ -30,7 +34,9 @@
     def put(self, published: PublishedValue) -> None:
         """Store a value that is newer than the one of its key."""
         key = published.key
+        self._drop(key)
         self.by_key[key] = published
+        self.size_bytes += _size_of(published)
         self._removed_revision_by_key.pop(key, None)
         if not published.body:
             self._removed_revision_by_key[key] = published.revision
@@ -43,6 +49,15 @@
             key=lambda removed: removed[1],
         )
         for key, revision in oldest_first[: MAX_REMOVED_KEYS // 2]:
-            self.by_key.pop(key)
+            self._drop(key)
             self._removed_revision_by_key.pop(key)
             self.forgotten_revision = max(self.forgotten_revision, revision)
+
+    def _drop(self, key: str) -> None:
+        former = self.by_key.pop(key, None)
+        if former is not None:
+            self.size_bytes -= _size_of(former)
+
+
+def _size_of(published: PublishedValue) -> int:
+    return ENTRY_BYTES + len(published.key) + len(published.body)
