Take no answer for complete that was reset while its request was being sent

Cause: the failed send takes the error from the socket, and the read after it returns nothing, as at the proper end of the answer. Evidence: a test with real sockets; ruled out: that any reset counts as an end, as one that a read meets is raised. The error of the send is now kept; after it nothing read is an end but after a broken pipe, which comes only once the searcher has ended its answer.

--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -92,7 +92,8 @@
         self._clock = clock
         self._deadline = deadline
         self._unsent = memoryview(b'')
-        self._is_send_interrupted = False
+        #: Why the request was not sent to its end.
+        self._send_error: OSError | None = None
         self._unsent_body = memoryview(b'')
         self._reader: ReplyReader | None = None
         self._account: MemoryAccount | None = None
@@ -199,10 +200,10 @@
                     self._unsent_body = self._unsent[:0]
         except BlockingIOError:
             return
-        except OSError:
+        except OSError as error:
             # A searcher may reply and close before it has read the whole
             # request; the reply is still valid.
-            self._is_send_interrupted = True
+            self._send_error = error
         self.stage = Stage.READING
 
     def _read(self) -> AttemptResult | None:
@@ -213,13 +214,15 @@
             if reader.is_waiting:
                 break
             received = self.connection.socket.recv(reader.next_read_bytes)
+            if not received:
+                _check_end(self._send_error)
             reply = reader.feed(received)
             if reply is not None:
                 return self._finish(reply)
         return None
 
     def _finish(self, reply: CompleteReply) -> AttemptResult:
-        is_request_sent = not (self._unsent or self._is_send_interrupted)
+        is_request_sent = not (self._unsent or self._send_error)
         self._reader = None
         if self._account is not None:
             self.call.held_replies.add(self._account)
@@ -237,3 +240,13 @@
     if len(body) <= MAX_COPIED_BYTES:
         return memoryview(b''.join((head, body))), memoryview(b'')
     return memoryview(head), memoryview(body)
+
+
+def _check_end(send_error: OSError | None) -> None:
+    """Raise the error that ended a connection on which nothing more is read.
+
+    The system reports it once: a read after a failed send returns nothing, as
+    at the end of a stream. A broken pipe comes after such an end.
+    """
+    if send_error is not None and send_error.errno != errno.EPIPE:
+        raise send_error
--- a/basilwall/forwarding/socket_attempt_test.py
+++ b/basilwall/forwarding/socket_attempt_test.py
@@ -2,6 +2,8 @@
 
 import select
 import socket
+import struct
+import time
 
 import pytest
 
@@ -10,13 +12,16 @@
 from basilwall.forwarding.socket_attempt import SocketAttempt
 from basilwall.parts.clock import ManualClock
 from basilwall.platform.codec import HeaderCodec
-from basilwall.records.forwarding import Call, LossReason, Unsent
+from basilwall.records.forwarding import Call, LossReason, Lost, Unsent
 from basilwall.records.searcher import Searcher
 from basilwall.standin.ports import reserved_ports
 
 START = ManualClock().monotonic()
 DEADLINE = START + 2
 HEAD = b'GET /a/ HTTP/1.1\r\nHost: h\r\n'
+#: SO_LINGER with a time of 0 s: closing the socket sends a reset.
+RESET = struct.pack('ii', 1, 0)
+REPLY_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\n\r\na part'
 REPLY = b'HTTP/1.1 413 Too large\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -145,3 +150,45 @@
         attempt.connection.close()
     assert isinstance(outcome, Unsent)
     assert outcome.reason is LossReason.NOT_CONNECTED
+
+
+def outcome_of_early_reply(listener, end_connection):
+    """Return how an attempt ends whose reply has no length.
+
+    The reply comes before the whole request is sent, then the connection ends.
+    """
+    attempt = make_attempt(listener, ManualClock(), body=bytes(50_000_000))
+    accepted, _ = listener.accept()
+    with accepted:
+        assert attempt.advance() is None
+        accepted.sendall(REPLY_WITHOUT_LENGTH)
+        end_connection(accepted)
+    time.sleep(0.1)
+    outcome = None
+    while outcome is None:
+        assert attempt.is_waiting_to_write
+        outcome = attempt.advance()
+    attempt.connection.close()
+    return outcome
+
+
+def test_a_reply_without_length_that_is_reset_is_not_taken_for_complete(
+    listener,
+):
+    outcome = outcome_of_early_reply(
+        listener,
+        lambda accepted: accepted.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET
+        ),
+    )
+    assert isinstance(outcome, Lost)
+    assert outcome.reason is LossReason.CUT
+
+
+def test_a_reply_without_length_that_ends_before_the_reset_is_complete(
+    listener,
+):
+    outcome = outcome_of_early_reply(
+        listener, lambda accepted: accepted.shutdown(socket.SHUT_WR)
+    )
+    assert (outcome.status, outcome.body) == (200, b'a part')
