Give no reply that names no request to a later one on its connection

Cause: a reply without an id was taken for the answer to any request. Ruled out: to skip all that name none, a trial: nine tests failed, as refused requests waited for their deadline. On a connection that was used before such a reply now ends the attempt as spoiled; on a new one it is the answer, and the connection is not used again. Answers of other VMs are taken as before.

Tests: six cases of socket_attempt_test.py failed before and pass.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # The cases that independent reviews found: those of the first with their
 # controls, and of the later ones those that are mended.
-MENDED := 7 8 9 10 11 15
+MENDED := 7 8 9 10 11 12 13 15
 review: $(VENV)/installed
 	$(RUN)/python -m review
 	for case in $(MENDED); do \
--- a/basilwall/forwarding/codec.py
+++ b/basilwall/forwarding/codec.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from basilwall.records.forwarding import Call, Reply, ReplyHead
+from basilwall.records.forwarding import Call, Reply, ReplyHead, ReplyMatch
 from basilwall.records.ids import SearcherId
 
 
@@ -25,8 +25,8 @@
         """
 
     @abstractmethod
-    def is_reply_to(self, call: Call, head: ReplyHead) -> bool:
-        """Return whether a reply answers this request."""
+    def match_reply(self, call: Call, head: ReplyHead) -> ReplyMatch:
+        """Return which request a reply names."""
 
     @abstractmethod
     def decode_reply(
--- a/basilwall/forwarding/connection.py
+++ b/basilwall/forwarding/connection.py
@@ -31,6 +31,8 @@
         self.usable_until = self.connect_started_at + DEFAULT_IDLE_SECONDS
         self.is_connected = False
         self.is_prepared = False
+        #: Whether a request has been answered on it.
+        self.is_used = False
         self.connect_seconds: float | None = None
         endpoint = parse_address(searcher.address)
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -66,6 +68,7 @@
             idle_timeout: How long the searcher keeps it idle, in seconds;
                 None if it does not say.
         """
+        self.is_used = True
         timeout = idle_timeout or DEFAULT_IDLE_SECONDS + IDLE_MARGIN_SECONDS
         self.usable_until = self._clock.monotonic() + max(
             timeout - IDLE_MARGIN_SECONDS,
--- a/basilwall/forwarding/reply_messages.py
+++ b/basilwall/forwarding/reply_messages.py
@@ -10,6 +10,7 @@
 import httptools
 
 from basilwall.forwarding.protocol_check import ProtocolCheck
+from basilwall.forwarding.reply_ownership import UnnamedReplyError
 from basilwall.parts.http_status import (
     VERSIONS,
     StatusKind,
@@ -49,7 +50,8 @@
         """Start before the first message.
 
         Args:
-            is_own_reply: Returns whether a reply answers the request.
+            is_own_reply: Returns whether a reply answers the request, or
+                raises `UnnamedReplyError`.
             has_body: Whether the reply may have a body.
         """
         self.head: ReplyHead | None = None
@@ -176,7 +178,11 @@
         self._headers = []
         self._header_bytes = 0
         is_final = kind is StatusKind.FINAL
-        self._is_own = is_final and self._is_own_reply(self.head)
+        try:
+            self._is_own = is_final and self._is_own_reply(self.head)
+        except UnnamedReplyError as error:
+            self._invalid = str(error)
+            raise
         if not self._is_own:
             return
         if self._has_body:
--- a/basilwall/forwarding/socket_attempt.py
+++ b/basilwall/forwarding/socket_attempt.py
@@ -7,12 +7,12 @@
 import errno
 from collections.abc import Callable
 from enum import Enum
-from functools import partial
 
 from basilwall.forwarding.codec import AttemptCodec
 from basilwall.forwarding.connection import SearcherConnection
 from basilwall.forwarding.reply_memory import ReplyMemory
 from basilwall.forwarding.reply_messages import InvalidReplyError
+from basilwall.forwarding.reply_ownership import ReplyOwnership
 from basilwall.forwarding.reply_reader import (
     CompleteReply,
     IncompleteReplyError,
@@ -95,6 +95,7 @@
         #: Why the request was not sent to its end.
         self._send_error: OSError | None = None
         self._unsent_body = memoryview(b'')
+        self._ownership = ReplyOwnership(codec, call, connection)
         self._reader: ReplyReader | None = None
         self._account: MemoryAccount | None = None
 
@@ -179,7 +180,7 @@
         self._account = self._memory.account(self.call, self.searcher.service)
         self._reader = ReplyReader(
             self.call.method,
-            partial(self._codec.is_reply_to, self.call),
+            self._ownership.is_own,
             self._account,
         )
         head = self._codec.encode_attempt(
@@ -228,7 +229,9 @@
             self.call.held_replies.add(self._account)
         self.close()
         self.may_keep_connection = (
-            reply.may_reuse_connection and is_request_sent
+            reply.may_reuse_connection
+            and is_request_sent
+            and not self._ownership.may_be_followed
         )
         self.connection.mark_idle(self._codec.idle_limit(reply.head))
         searcher_id = self.searcher.searcher_id
--- a/basilwall/forwarding/socket_attempt_test.py
+++ b/basilwall/forwarding/socket_attempt_test.py
@@ -12,7 +12,13 @@
 from basilwall.forwarding.socket_attempt import SocketAttempt
 from basilwall.parts.clock import ManualClock
 from basilwall.platform.codec import HeaderCodec
-from basilwall.records.forwarding import Call, LossReason, Lost, Unsent
+from basilwall.records.forwarding import (
+    Call,
+    LossReason,
+    Lost,
+    Reply,
+    Unsent,
+)
 from basilwall.records.searcher import Searcher
 from basilwall.standin.ports import reserved_ports
 
@@ -69,8 +75,12 @@
 
 def make_attempt_to(host, port, clock, may_send, body=b''):
     searcher = Searcher('i', 's', f'{host}:{port}', 'z', 2, False, 0, 1)
-    call = Call(b'GET', b'/a/', 'h', b'1', HEAD, body, START, DEADLINE)
     connection = SearcherConnection(searcher, clock)
+    return make_attempt_on(connection, clock, may_send, body)
+
+
+def make_attempt_on(connection, clock, may_send=always, body=b''):
+    call = Call(b'GET', b'/a/', 'h', b'1', HEAD, body, START, DEADLINE)
     memory = ReplyMemory(1_000_000, clock)
     return SocketAttempt(
         call, connection, HeaderCodec(), clock, DEADLINE, may_send, memory
@@ -192,3 +202,59 @@
         listener, lambda accepted: accepted.shutdown(socket.SHUT_WR)
     )
     assert (outcome.status, outcome.body) == (200, b'a part')
+
+
+def own_reply(body):
+    return (
+        b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n%b'
+        % (len(body), body)
+    )
+
+
+UNNAMED_REPLIES = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nformer',
+    b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+    b'HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n',
+)
+
+
+def replied_on(attempt, accepted, reply):
+    """Return the outcome of an attempt once a reply has come."""
+    assert attempt.advance() is None
+    accepted.sendall(reply)
+    poll = select.poll()
+    poll.register(attempt.connection.socket, select.POLLIN)
+    assert poll.poll(2000)
+    return attempt.advance()
+
+
+@pytest.mark.parametrize('unnamed', UNNAMED_REPLIES)
+def test_a_reply_that_names_no_request_is_not_given_to_the_next_one(
+    listener, unnamed
+):
+    clock = ManualClock()
+    first = make_attempt(listener, clock)
+    accepted, _ = listener.accept()
+    with accepted:
+        assert replied_on(first, accepted, own_reply(b'a')).body == b'a'
+        assert first.may_keep_connection
+        second = make_attempt_on(first.connection, clock)
+        outcome = replied_on(second, accepted, unnamed + own_reply(b'b'))
+        first.connection.close()
+    assert isinstance(outcome, Lost)
+    assert outcome.reason is LossReason.SPOILED
+    assert outcome.detail == 'reply names no request'
+    assert not second.may_keep_connection
+
+
+@pytest.mark.parametrize('unnamed', UNNAMED_REPLIES)
+def test_a_connection_is_not_kept_after_a_reply_that_names_no_request(
+    listener, unnamed
+):
+    attempt = make_attempt(listener, ManualClock())
+    accepted, _ = listener.accept()
+    with accepted:
+        outcome = replied_on(attempt, accepted, unnamed)
+        attempt.connection.close()
+    assert isinstance(outcome, Reply)
+    assert not attempt.may_keep_connection
--- a/basilwall/platform/codec.py
+++ b/basilwall/platform/codec.py
@@ -5,7 +5,13 @@
 from basilwall.platform import headers, values
 from basilwall.platform.decoding import UnreadableValueError
 from basilwall.platform.route_documents import decode_table
-from basilwall.records.forwarding import Answer, Call, Reply, ReplyHead
+from basilwall.records.forwarding import (
+    Answer,
+    Call,
+    Reply,
+    ReplyHead,
+    ReplyMatch,
+)
 from basilwall.records.ids import SearcherId
 from basilwall.records.request_head import RequestHead
 from basilwall.records.routes import RouteTable
@@ -25,9 +31,9 @@
         """Encode the head of one attempt; `time_left` is in seconds."""
         return headers.encode_attempt(call, searcher, time_left)
 
-    def is_reply_to(self, call: Call, head: ReplyHead) -> bool:
-        """Return whether a reply may belong to this request."""
-        return headers.is_reply_to(call.request_id, head)
+    def match_reply(self, call: Call, head: ReplyHead) -> ReplyMatch:
+        """Return which request a reply names."""
+        return headers.match_reply(call.request_id, head)
 
     def decode_reply(
         self,
--- a/basilwall/platform/headers.py
+++ b/basilwall/platform/headers.py
@@ -12,6 +12,7 @@
     RawHeaders,
     Reply,
     ReplyHead,
+    ReplyMatch,
 )
 from basilwall.records.ids import SearcherId
 from basilwall.records.request_head import RequestHead
@@ -119,10 +120,12 @@
     return b''.join((call.head, attempt_headers.encode(), b'\r\n'))
 
 
-def is_reply_to(request_id: bytes, head: ReplyHead) -> bool:
-    """Return whether a reply has this request id or none."""
-    reply_id = head.headers_by_name.get(REQUEST_ID)
-    return reply_id is None or reply_id == request_id
+def match_reply(request_id: bytes, head: ReplyHead) -> ReplyMatch:
+    """Return which request a reply names."""
+    reply_id = head.headers_by_name.get(REQUEST_ID, b'')
+    if reply_id == request_id:
+        return ReplyMatch.THIS
+    return ReplyMatch.OTHER if reply_id else ReplyMatch.NONE
 
 
 def decode_reply(
--- a/basilwall/records/forwarding.py
+++ b/basilwall/records/forwarding.py
@@ -70,6 +70,14 @@
         object.__setattr__(self, 'headers_by_name', by_name)
 
 
+class ReplyMatch(Enum):
+    """Which request a reply names."""
+
+    THIS = 'this'
+    OTHER = 'other'
+    NONE = 'none'
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """The complete reply of a searcher to an attempt.
--- a/basilwall/relaying/codec.py
+++ b/basilwall/relaying/codec.py
@@ -15,6 +15,7 @@
     RawHeaders,
     Reply,
     ReplyHead,
+    ReplyMatch,
     Verdict,
 )
 from basilwall.records.ids import SearcherAddress, SearcherId
@@ -72,9 +73,14 @@
         extended = replace(call, head=b''.join((call.head, *lines)))
         return self._codec.encode_attempt(extended, searcher, time_left)
 
-    def is_reply_to(self, call: Call, head: ReplyHead) -> bool:
-        """Return whether an answer may belong to this request."""
-        return self._codec.is_reply_to(call, head)
+    def match_reply(self, call: Call, head: ReplyHead) -> ReplyMatch:
+        """Return which request an answer names.
+
+        A VM that refuses a request before it has read it names none, and sends
+        nothing that belongs to no request.
+        """
+        found = self._codec.match_reply(call, head)
+        return ReplyMatch.THIS if found is ReplyMatch.NONE else found
 
     def decode_reply(
         self, searcher: SearcherId, head: ReplyHead, body: bytes
--- a/basilwall/standin/platform_searcher.py
+++ b/basilwall/standin/platform_searcher.py
@@ -266,7 +266,8 @@
         expected = request.header(b'expect-instance')
         if expected not in {None, self.searcher_id.encode()}:
             self.seen.append(request)
-            connection.sendall(_head(HTTP_MISDIRECTED, b'', b'no', 0))
+            request_id = request.header(b'request-id') or b''
+            connection.sendall(_head(HTTP_MISDIRECTED, request_id, b'no', 0))
             return True
         has_run = behaviour is not Behaviour.SHED
         self.seen.append(replace(request, has_run=has_run))
@@ -332,7 +333,8 @@
         answer = self._answer(request_id, signature, size)
         other = self._answer(b'another', b'other', size)
         shed = (
-            b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+            b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n'
+            b'Request-Id: %b\r\nContent-Length: 0\r\n\r\n' % request_id
         )
         by_behaviour = {
             Behaviour.SHED: shed,
