--- a/basilwall/platform/store_test.py
+++ b/basilwall/platform/store_test.py
@@ -243,3 +243,15 @@
     with pytest.raises(UnusableReplyError):
         client.watch(known)
     assert bodies(client.watch(known)) == {'a': large}
+
+
+@pytest.mark.xfail(strict=True, reason='entry 18 of KNOWN-RED.txt')
+def test_a_reply_that_cannot_be_used_is_no_contact(
+    store, client, progress, monkeypatch
+):
+    store.put('a', b'1')
+    page = {'items': [], 'at': 'x'}
+    monkeypatch.setattr(store, 'read_page', lambda *_: page)
+    with pytest.raises(UnusableReplyError):
+        client.watch(NO_REVISION)
+    assert progress.contact_at() == -math.inf
